--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: commands that print measurements."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/src/auburnrock/control/__init__.py
@@ -0,0 +1,1 @@
+"""auburnrock.control."""
--- /dev/null
+++ b/src/auburnrock/engine/keys.py
@@ -0,0 +1,34 @@
+"""From keys to shards.
+
+Hash: xxHash64 (Yann Collet, https://xxhash.com), seed 0.
+"""
+
+import xxhash
+
+from auburnrock import records
+
+
+def shard_count(settings: records.ServiceSettings) -> int:
+    """How many shards a service has: hashed ones, then one per hot key."""
+    return settings.shards + len(settings.hot_keys)
+
+
+def shard_of(settings: records.ServiceSettings, key: str) -> int:
+    """The shard of a key.
+
+    A hot key has a shard of its own after the hashed ones, so that moving it
+    moves no other key.
+    """
+    if key in settings.hot_keys:
+        return settings.shards + settings.hot_keys.index(key)
+    return hash_of(key) % settings.shards
+
+
+def hash_of(key: str) -> int:
+    """The 64-bit hash of a key."""
+    return xxhash.xxh64_intdigest(key.encode())
+
+
+def page_of(shard: int) -> int:
+    """Number of the assignment page that holds a shard."""
+    return shard // records.SHARDS_PER_PAGE
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that the task script calls."""
