--- a/src/auburnrock/targets/__init__.py
+++ b/src/auburnrock/targets/__init__.py
@@ -1,1 +1,1 @@
-"""auburnrock.targets."""
+"""The targets beside the nodes, behind an abstract base class."""
