--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -197,9 +197,9 @@
     expires_at_ms: int
 
 
-def node_key(name: str) -> str:
-    """The store's key of a node's record."""
-    return NODES_PREFIX + name
+def node_key(name: str, incarnation: int) -> str:
+    """The store's key of the record of one incarnation of a node."""
+    return f"{NODES_PREFIX}{name}/{incarnation:016x}"
 
 
 def page_key(service: str, page: int) -> str:
