--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -227,6 +227,16 @@
     return msgspec.json.decode(data, type=NodeRecord)
 
 
+def try_decode_node(data: bytes | None) -> NodeRecord | None:
+    """Decodes a node's record; None if there is none or it is nonsense."""
+    if data is None:
+        return None
+    try:
+        return decode_node(data)
+    except msgspec.DecodeError:
+        return None
+
+
 def decode_configuration(data: bytes) -> Configuration:
     """Decodes the configuration; raises msgspec.DecodeError on nonsense."""
     return msgspec.json.decode(data, type=Configuration)
--- /dev/null
+++ b/src/auburnrock/shells/datagrams.py
@@ -0,0 +1,77 @@
+"""The UDP socket for lease renewals, seals and hints."""
+
+import abc
+import asyncio
+
+import msgspec
+
+from auburnrock import messages
+
+
+class DatagramHandler(abc.ABC):
+    """Receives datagrams."""
+
+    @abc.abstractmethod
+    def on_datagram(
+        self, message: messages.Datagram, sender: tuple[str, int]
+    ) -> None:
+        """Handles one message; must not block."""
+
+    @abc.abstractmethod
+    def on_garbage(self, reason: str) -> None:
+        """Notes that a datagram was no message."""
+
+
+class DatagramSocket(asyncio.DatagramProtocol):
+    """One UDP socket.
+
+    Attributes:
+      handler: receives messages.
+      transport: the socket once it is open.
+      sent_bytes: payload bytes sent.
+      received_bytes: payload bytes received.
+    """
+
+    def __init__(self, handler: DatagramHandler):
+        self.handler = handler
+        self.transport: asyncio.DatagramTransport | None = None
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio when the socket is open."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Called by asyncio with one datagram."""
+        self.received_bytes += len(data)
+        try:
+            message = messages.decode_datagram(data)
+        except msgspec.DecodeError as error:
+            self.handler.on_garbage(str(error))
+            return
+        self.handler.on_datagram(message, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Called by asyncio when a send was refused, as by a dead peer."""
+
+    def send(
+        self, message: messages.Datagram, receiver: tuple[str, int]
+    ) -> None:
+        """Sends one message; it may be lost."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        data = messages.encode(message)
+        self.sent_bytes += len(data)
+        self.transport.sendto(data, receiver)
+
+
+async def open_socket(
+    handler: DatagramHandler, address: str, port: int
+) -> DatagramSocket:
+    """Opens the socket on an address of this host."""
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_datagram_endpoint(
+        lambda: DatagramSocket(handler), local_addr=(address, port)
+    )
+    return protocol
--- /dev/null
+++ b/src/auburnrock/shells/peer_server.py
@@ -0,0 +1,135 @@
+"""The port for other nodes' requests and pulls, and for the client library."""
+
+import asyncio
+
+import aiomisc
+
+from auburnrock import errors
+from auburnrock import messages
+from auburnrock.shells import executor
+from auburnrock.shells import frames
+from auburnrock.shells import logs
+from auburnrock.shells import store_sync
+
+SILENCE_CHECK_S = 0.1
+
+
+class PeerHandler(frames.FrameHandler):
+    """Runs the requests and answers the pulls that peers send.
+
+    Attributes:
+      executor: runs requests at the target.
+      sync: owns the replica.
+      event_log: where events go.
+      running: task of each exchange in progress, by connection and stream.
+    """
+
+    def __init__(
+        self,
+        request_executor: executor.Executor,
+        sync: store_sync.StoreSync,
+        event_log: logs.EventLog,
+    ):
+        self.executor = request_executor
+        self.sync = sync
+        self.event_log = event_log
+        self.running: dict[
+            tuple[frames.FrameConnection, int], asyncio.Task
+        ] = {}
+
+    def on_frame(
+        self, connection: frames.FrameConnection, frame: messages.Frame
+    ) -> None:
+        """Handles a request, a cancel or a pull."""
+        match frame:
+            case messages.Request():
+                self._start(connection, frame)
+            case messages.Cancel():
+                task = self.running.get((connection, frame.stream))
+                if task is not None:
+                    task.cancel()
+            case messages.Pull():
+                replica = self.sync.replica
+                connection.send(
+                    replica.delta_after(frame.stream, frame.after_revision)
+                )
+            case _:
+                self.on_garbage(f"unexpected frame {type(frame).__name__}")
+
+    def on_garbage(self, reason: str) -> None:
+        """Notes that a peer sent bytes that are no frame."""
+        self.event_log.write("peer_garbage", reason=reason)
+
+    def on_closed(self, connection: frames.FrameConnection) -> None:
+        """Cancels what the ended connection had asked for."""
+        for (owner, _), task in list(self.running.items()):
+            if owner is connection:
+                task.cancel()
+
+    def _start(
+        self, connection: frames.FrameConnection, request: messages.Request
+    ) -> None:
+        key = (connection, request.stream)
+        task = asyncio.create_task(self._run(connection, request))
+        self.running[key] = task
+        task.add_done_callback(lambda _task: self.running.pop(key, None))
+
+    async def _run(
+        self, connection: frames.FrameConnection, request: messages.Request
+    ) -> None:
+        stream = request.stream
+        try:
+            answer = await self.executor.execute(request)
+        except Exception as error:
+            # The peer must get an answer whatever went wrong here.
+            answer = self.executor.refuse(
+                request,
+                errors.Failure(errors.ErrorKind.INTERNAL, repr(error)),
+            )
+        answer.stream = stream
+        connection.send(answer)
+
+
+class PeerServer(aiomisc.Service):
+    """Listens for other nodes.
+
+    Attributes:
+      address: IP number to listen on.
+      port: TCP port to listen on.
+      handler: handles the frames.
+      peers: this node's own connections, whose silence is watched here.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        handler: PeerHandler,
+        peers: frames.PeerConnections,
+    ):
+        super().__init__()
+        self.address = address
+        self.port = port
+        self.handler = handler
+        self.peers = peers
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Opens the port and watches for silent connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: frames.FrameConnection(self.handler),
+            self.address,
+            self.port,
+            backlog=1024,
+        )
+        self.start_event.set()
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            self.peers.check_silence()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes the port and the connections."""
+        if self._server is not None:
+            self._server.close()
+        self.peers.close()
