--- a/src/auburnrock/shells/front.py
+++ b/src/auburnrock/shells/front.py
@@ -117,7 +117,7 @@
             )
             return failure_response(failure, "")
         self.announcements.on_announcement(announcement)
-        return web.Response(status=204)
+        return web.Response(status=200)
 
     async def _handle_caller(self, http: web.BaseRequest) -> web.Response:
         request_id = http.headers.get(wire.REQUEST_ID) or str(
