--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -49,7 +49,7 @@
                 if task is not None:
                     task.cancel()
             case messages.Pull():
-                replica = self.sync.replica
+                replica = self.sync.view.replica
                 connection.send(
                     replica.delta_after(frame.stream, frame.after_revision)
                 )
--- a/src/auburnrock/shells/store_sync.py
+++ b/src/auburnrock/shells/store_sync.py
@@ -15,9 +15,9 @@
 import aiomisc
 
 from auburnrock import messages
-from auburnrock import records
 from auburnrock.engine import keys
-from auburnrock.engine import replica as replica_module
+from auburnrock.engine import replica as replica_lib
+from auburnrock.engine import view as view_lib
 from auburnrock.platform import base as platform_base
 from auburnrock.shells import frames
 from auburnrock.shells import logs
@@ -58,7 +58,7 @@
     """The task that owns the replica.
 
     Attributes:
-      replica: this node's copy of the store.
+      view: this node's copy of the store, with its typed views.
       platform: client of the store.
       peers: connections to the other nodes, for pulls.
       incarnation: this node's incarnation.
@@ -74,7 +74,7 @@
         event_log: logs.EventLog,
     ):
         super().__init__()
-        self.replica = replica_module.Replica()
+        self.view = view_lib.View(replica_lib.Replica())
         self.platform = platform
         self.peers = peers
         self.incarnation = incarnation
@@ -84,6 +84,7 @@
         self._advanced = asyncio.Event()
         self._pull: asyncio.Task | None = None
         self._pull_goal = 0
+        self._newest_written = 0
         self._catch_up: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -106,30 +107,44 @@
         one that stops silently costs a timeout and no more.
         """
         try:
-            if self.replica.revision == 0:
+            if self.view.replica.revision == 0:
                 snapshot = await self.platform.list(prefix)
             else:
                 snapshot = await self.platform.watch(
-                    prefix, self.replica.revision, wait_s
+                    prefix, self.view.replica.revision, wait_s
                 )
         except platform_base.StoreError as error:
             self._note_store(False, str(error))
             return False
         self._note_store(True, "")
-        self._publish(self.replica.apply_snapshot(snapshot))
+        self._publish(self.view.apply_snapshot(snapshot))
         return True
 
     def on_written(self, value: platform_base.Value) -> None:
         """Notes a value that this node itself wrote or was shown."""
-        self._publish(self.replica.apply_value(value))
+        self._publish(self.view.apply_value(value))
+        self._newest_written = max(self._newest_written, value.revision)
+        if value.revision > self.view.replica.revision:
+            self.catch_up()
+
+    def catch_up(self) -> None:
+        """Begins a read of the store, unless one is under way."""
         if self._catch_up is None or self._catch_up.done():
-            self._catch_up = asyncio.create_task(
-                self.read_store(EVERYTHING, 0.0)
-            )
+            self._catch_up = asyncio.create_task(self._read_until_caught_up())
+
+    async def caught_up(self) -> None:
+        """Returns when the read under way, if any, has ended."""
+        if self._catch_up is not None:
+            await asyncio.wait([self._catch_up])
+
+    async def _read_until_caught_up(self) -> None:
+        while await self.read_store(EVERYTHING, 0.0):
+            if self.view.replica.revision >= self._newest_written:
+                return
 
     def on_hint(self, host: str, port: int, watermark: int) -> None:
         """Pulls from a peer that is ahead of the replica."""
-        if watermark <= self.replica.revision:
+        if watermark <= self.view.replica.revision:
             return
         self._pull_goal = max(self._pull_goal, watermark)
         if self._pull is None or self._pull.done():
@@ -160,39 +175,30 @@
 
     def _is_reader(self) -> bool:
         active = [
-            record.incarnation
-            for record in self.node_records()
-            if record.state is records.NodeState.ACTIVE
+            record.incarnation for record in self.view.members.active()
         ]
         return self.incarnation not in active or is_reader(
             self.incarnation, active
         )
 
-    def node_records(self) -> list[records.NodeRecord]:
-        """All readable node records of the replica."""
-        found = []
-        for value in self.replica.with_prefix(records.NODES_PREFIX):
-            record = records.try_decode_node(value.data)
-            if record is not None:
-                found.append(record)
-        return found
-
     async def _pull_from(self, host: str, port: int) -> None:
-        pull = messages.Pull(0, self.replica.revision)
+        pull = messages.Pull(0, self.view.replica.revision)
         try:
             delta = await self.peers.exchange(host, port, pull, PULL_TIMEOUT_S)
         except frames.PeerError:
             return
         if isinstance(delta, messages.Delta):
-            self._publish(self.replica.apply_delta(delta))
+            self._publish(self.view.apply_delta(delta))
 
-    def _publish(self, changed: list[str]) -> None:
-        if not changed:
+    def _publish(self, change: view_lib.Change) -> None:
+        for event in change.log:
+            self.event_log.write_pairs(event.event, event.fields)
+        if not change.keys:
             return
         self._advanced.set()
         self._advanced = asyncio.Event()
         for listener in self.listeners:
-            listener.on_replica_changed(changed)
+            listener.on_replica_changed(change.keys)
 
     def _note_store(self, reachable: bool, reason: str) -> None:
         if reachable == self.store_reachable:
--- a/src/auburnrock/shells/wire.py
+++ b/src/auburnrock/shells/wire.py
@@ -1,20 +1,21 @@
-"""Names of HTTP headers and paths that the system uses."""
+"""Names of HTTP headers and paths towards callers."""
 
-REQUEST_ID = "Auburnrock-Request-Id"
-KEY = "Auburnrock-Key"
-SHARD = "Auburnrock-Shard"
-EPOCH = "Auburnrock-Epoch"
+from auburnrock.targets import protocol
+
+REQUEST_ID = protocol.REQUEST_ID_HEADER
+KEY = protocol.KEY_HEADER
+EPOCH = protocol.EPOCH_HEADER
+DEADLINE_MS = protocol.DEADLINE_HEADER
+RAN = protocol.RAN_HEADER
+ERROR = protocol.ERROR_HEADER
+IDEMPOTENCY_KEY = protocol.IDEMPOTENCY_KEY_HEADER
 OWNER = "Auburnrock-Owner"
-DEADLINE_MS = "Auburnrock-Deadline-Ms"
 CALLER = "Auburnrock-Caller"
-RAN = "Auburnrock-Ran"
-ERROR = "Auburnrock-Error"
-IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
 RETRY_AFTER_MS = "Auburnrock-Retry-After-Ms"
 
-ANNOUNCE_PATH = "/auburnrock/announce"
-HEALTH_PATH = "/auburnrock/health"
+ANNOUNCE_PATH = protocol.ANNOUNCE_PATH
+HEALTH_PATH = protocol.HEALTH_PATH
 OWN_PREFIX = "/auburnrock/"
 
 HOP_BY_HOP = frozenset(
