Add the lease of a node, its witnesses and the sealing of a lost node

Cause: a key must have one owner while the store is down, answers are lost and processes stand still; leases in the store end with every outage. Ruled out: sealing on one witness's word (one bad link would end a healthy node: a majority of the witnesses must find it silent, which is the majority that sealing needs anyway); two witnesses (both would be needed, worse than one).

--- a/src/auburnrock/engine/actions.py
+++ b/src/auburnrock/engine/actions.py
@@ -25,6 +25,12 @@
     message: messages.Datagram
 
 
+class Reply(msgspec.Struct, frozen=True):
+    """Send a datagram back to where the one being handled came from."""
+
+    message: messages.Datagram
+
+
 class Swap(msgspec.Struct, frozen=True):
     """Compare-and-swap a record of the store.
 
@@ -100,4 +106,4 @@
     fields: list[tuple[str, str]]
 
 
-Action = SendDatagram | Swap | Read | Spread | LogEvent
+Action = SendDatagram | Reply | Swap | Read | Spread | LogEvent
--- /dev/null
+++ b/src/auburnrock/engine/member.py
@@ -0,0 +1,291 @@
+"""One node's part in the ownership protocol: holder, witness and sealer.
+
+It routes events to the three and starts the sealings that are due. It never
+acts for the node's shards; whoever does asks `holder.live` at the time.
+"""
+
+import msgspec
+
+from auburnrock import messages
+from auburnrock import records
+from auburnrock.engine import actions
+from auburnrock.engine import lease
+from auburnrock.engine import sealing as sealing_module
+from auburnrock.engine import timing as timing_module
+from auburnrock.engine import witness as witness_module
+from auburnrock.platform import base as platform_base
+
+CHOICE_INTERVAL_MS = 1_000
+"""Shortest time between two looks at all nodes for better witnesses."""
+
+
+class Known(msgspec.Struct, frozen=True):
+    """A node's record as last seen, and as it stands in the store."""
+
+    record: records.NodeRecord
+    value: platform_base.Value
+
+
+class Member:
+    """One incarnation of a node among its peers.
+
+    Its shell passes in datagrams, results, node records as its replica sees
+    them and, at least every 50 ms, the time.
+
+    Attributes:
+      holder: this node's lease.
+      witness: renews other nodes.
+      sealings: unfinished ends of other nodes, by incarnation.
+      known: the node records by incarnation.
+    """
+
+    __slots__ = (
+        "choice_is_stale",
+        "holder",
+        "known",
+        "next_choice_ms",
+        "retry_at_ms",
+        "sealings",
+        "sealings_begun",
+        "timing",
+        "was_live",
+        "witness",
+    )
+
+    def __init__(
+        self,
+        record: records.NodeRecord,
+        timing: timing_module.Timing,
+        now_ms: int,
+        nodes: list[platform_base.Value],
+    ):
+        """Prepares a new incarnation.
+
+        Args:
+          record: its own record, without witnesses.
+          timing: the fleet's times.
+          now_ms: boot-time clock.
+          nodes: all node records of the store.
+        """
+        self.timing = timing
+        self.witness = witness_module.Witness(
+            record.name, record.incarnation, timing, now_ms
+        )
+        self.known: dict[int, Known] = {}
+        self.sealings: dict[int, sealing_module.Sealing] = {}
+        self.sealings_begun = 0
+        self.retry_at_ms: dict[int, int] = {}
+        self.choice_is_stale = False
+        self.next_choice_ms = now_ms
+        self.was_live = False
+        for value in nodes:
+            self._learn(now_ms, value)
+        self.holder = lease.Holder(
+            record, timing, now_ms, self._known_records()
+        )
+
+    def set_watermark(self, revision: int) -> None:
+        """Takes the revision of this node's replica."""
+        self.holder.watermark = revision
+        self.witness.watermark = revision
+
+    def tick(self, now_ms: int) -> list[actions.Action]:
+        """Goes on with everything that waits for time."""
+        self._choose_again_if_stale(now_ms)
+        asked = self.holder.tick(now_ms)
+        asked += self.witness.tick(now_ms)
+        for sealing in list(self.sealings.values()):
+            asked += sealing.tick(now_ms)
+        asked += self._begin_due_sealings(now_ms)
+        asked += self._drop_finished_sealings(now_ms)
+        return asked + self._log_lease(now_ms)
+
+    def on_datagram(
+        self, now_ms: int, message: messages.Datagram
+    ) -> list[actions.Action]:
+        """Takes a datagram; kinds that belong to other parts are ignored."""
+        if isinstance(message, messages.Renew):
+            return [actions.Reply(self.witness.on_renew(now_ms, message))]
+        if isinstance(message, messages.RenewAnswer):
+            return self.holder.on_renew_answer(now_ms, message)
+        if isinstance(message, messages.Seal):
+            answer = self.witness.on_seal(now_ms, message)
+            return [] if answer is None else [actions.Reply(answer)]
+        if isinstance(message, messages.SealAnswer):
+            sealing = self.sealings.get(message.node)
+            if sealing is not None:
+                return sealing.on_seal_answer(now_ms, message)
+        if isinstance(message, messages.Suspect):
+            self.witness.on_suspect(now_ms, message)
+        return []
+
+    def owns(self, token: str) -> bool:
+        """Whether a store result's token belongs to this part."""
+        return self.holder.owns(token) or any(
+            sealing.owns(token) for sealing in self.sealings.values()
+        )
+
+    def on_result(
+        self, now_ms: int, result: actions.StoreResult
+    ) -> list[actions.Action]:
+        """Takes the result of a call to the store."""
+        if self.holder.owns(result.token):
+            return self.holder.on_result(now_ms, result)
+        asked: list[actions.Action] = []
+        for sealing in list(self.sealings.values()):
+            asked += sealing.on_result(now_ms, result)
+        return asked + self._drop_finished_sealings(now_ms)
+
+    def on_record(
+        self, now_ms: int, value: platform_base.Value
+    ) -> list[actions.Action]:
+        """Takes a node's record whenever it is new, changed or deleted."""
+        incarnation = incarnation_of(value.key)
+        known = self.known.get(incarnation)
+        if known is not None and value.revision <= known.value.revision:
+            return []
+        self._learn(now_ms, value)
+        if incarnation == self.holder.record.incarnation:
+            self.holder.on_record(now_ms, value)
+        if self._is_own_witness(incarnation):
+            self.next_choice_ms = now_ms
+        self.choice_is_stale = True
+        sealing = self.sealings.get(incarnation)
+        if sealing is None:
+            return []
+        asked = sealing.on_record(now_ms, value)
+        return asked + self._drop_finished_sealings(now_ms)
+
+    def on_target_ended(
+        self, now_ms: int, incarnation: int
+    ) -> list[actions.Action]:
+        """Takes the confirmed end of the target beside a node."""
+        sealing = self.sealings.get(incarnation)
+        return [] if sealing is None else sealing.on_target_ended(now_ms)
+
+    def on_node_ended(
+        self, now_ms: int, incarnation: int
+    ) -> list[actions.Action]:
+        """Takes the operator's word that a node and its target have ended."""
+        asked: list[actions.Action] = []
+        if incarnation not in self.sealings and incarnation in self.known:
+            asked = self._begin(now_ms, incarnation)
+        sealing = self.sealings.get(incarnation)
+        if sealing is not None:
+            asked += sealing.on_node_ended(now_ms)
+        return asked
+
+    def _learn(self, now_ms: int, value: platform_base.Value) -> None:
+        incarnation = incarnation_of(value.key)
+        if value.data is None:
+            self.known.pop(incarnation, None)
+            self.witness.on_record_deleted(incarnation)
+            return
+        record = records.decode_node(value.data)
+        self.known[incarnation] = Known(record, value)
+        self.witness.on_record(now_ms, record)
+
+    def _known_records(self) -> list[records.NodeRecord]:
+        return [known.record for known in self.known.values()]
+
+    def _is_own_witness(self, incarnation: int) -> bool:
+        return any(
+            witness.incarnation == incarnation
+            for witness in self.holder.record.witnesses
+        )
+
+    def _choose_again_if_stale(self, now_ms: int) -> None:
+        if not self.choice_is_stale or now_ms < self.next_choice_ms:
+            return
+        self.choice_is_stale = False
+        self.next_choice_ms = now_ms + CHOICE_INTERVAL_MS
+        self.holder.set_nodes(self._known_records())
+
+    def _former_incarnations(self) -> list[int]:
+        """Earlier starts of this node that have not ended.
+
+        Only once the own record exists: a start that does not get that far
+        must not take part.
+        """
+        own = self.holder.record
+        if self.holder.revision == 0 or self.holder.ended:
+            return []
+        return [
+            incarnation
+            for incarnation, known in self.known.items()
+            if known.record.name == own.name
+            and incarnation < own.incarnation
+            and known.record.state is not records.NodeState.ENDED
+        ]
+
+    def _begin_due_sealings(self, now_ms: int) -> list[actions.Action]:
+        asked: list[actions.Action] = []
+        due = self.witness.due(now_ms) + self._former_incarnations()
+        for incarnation in due:
+            is_early = now_ms < self.retry_at_ms.get(incarnation, now_ms)
+            if incarnation not in self.sealings and not is_early:
+                asked += self._begin(now_ms, incarnation)
+        return asked
+
+    def _begin(self, now_ms: int, incarnation: int) -> list[actions.Action]:
+        self.sealings_begun += 1
+        own = self.holder.record.incarnation
+        known = self.known[incarnation]
+        sealing = sealing_module.Sealing(
+            f"{own:x}.{self.sealings_begun}", known.value, self.timing
+        )
+        self.sealings[incarnation] = sealing
+        started = _log("sealing_started", known.record, [])
+        return [started, *sealing.start(now_ms)]
+
+    def _drop_finished_sealings(self, now_ms: int) -> list[actions.Action]:
+        asked: list[actions.Action] = []
+        for incarnation, sealing in list(self.sealings.items()):
+            if not sealing.finished:
+                continue
+            del self.sealings[incarnation]
+            self._learn_end(now_ms, sealing)
+            retry_at_ms = now_ms + self.timing.store_retry_ms
+            self.retry_at_ms[incarnation] = retry_at_ms
+            outcome = [("outcome", sealing.state)]
+            asked.append(_log("sealing_finished", sealing.record, outcome))
+        self.retry_at_ms = {
+            incarnation: retry_at_ms
+            for incarnation, retry_at_ms in self.retry_at_ms.items()
+            if now_ms <= retry_at_ms
+        }
+        return asked
+
+    def _learn_end(self, now_ms: int, sealing: sealing_module.Sealing) -> None:
+        """Takes an end that the replica may not show yet."""
+        if sealing.record.state is not records.NodeState.ENDED:
+            return
+        record = sealing.record
+        key = records.node_key(record.name, record.incarnation)
+        data = records.encode_json(record)
+        self._learn(now_ms, platform_base.Value(key, data, sealing.revision))
+
+    def _log_lease(self, now_ms: int) -> list[actions.Action]:
+        """Logs when the lease becomes live or ends."""
+        is_live = self.holder.live(now_ms)
+        if is_live == self.was_live:
+            return []
+        self.was_live = is_live
+        event = "lease_live" if is_live else "lease_lost"
+        state = [("state", self.holder.state)]
+        return [_log(event, self.holder.record, state)]
+
+
+def incarnation_of(key: str) -> int:
+    """The incarnation in a node record's key."""
+    return int(key.rpartition("/")[2], 16)
+
+
+def _log(
+    event: str, record: records.NodeRecord, fields: list[tuple[str, str]]
+) -> actions.LogEvent:
+    node = [
+        ("node", record.name),
+        ("incarnation", f"{record.incarnation:x}"),
+    ]
+    return actions.LogEvent(event, node + fields)
--- /dev/null
+++ b/tests/common/ownership.py
@@ -0,0 +1,382 @@
+"""A few members in virtual time, with fakes of the network and the store.
+
+One shard stands for all: whoever finds its owner ENDED takes it by one
+compare-and-swap. The oracle: no incarnation whose record is ENDED has a live
+lease, and no two processes would serve the shard at the same moment.
+"""
+
+import collections
+import enum
+import heapq
+
+from auburnrock import records
+from auburnrock.engine import actions
+from auburnrock.engine import member as member_module
+from auburnrock.engine import store_write
+from auburnrock.engine import timing as timing_module
+from auburnrock.platform import base as platform_base
+
+TICK_MS = 50
+STORE_MS = 2
+NETWORK_MS = 1
+CALL_TIMEOUT_MS = 400
+PAGE = records.page_key("svc", 0)
+STORE = "store"
+
+
+class Fault(enum.Enum):
+    NONE = "none"
+    REFUSED = "refused"
+    ANSWER_LOST = "answer lost"
+    LATE = "late"
+    NEVER = "never"
+
+
+class TwoOwnersError(AssertionError):
+    """The oracle saw a key with two owners."""
+
+
+class Store:
+    def __init__(self):
+        self.values = {}
+        self.revision = 0
+
+    def swap(self, action):
+        current = self.values.get(action.key)
+        revision = 0 if current is None else current.revision
+        if revision != action.expected_revision:
+            return actions.StoreOutcome.CONFLICT, current
+        self.revision += 1
+        value = platform_base.Value(action.key, action.data, self.revision)
+        self.values[action.key] = value
+        return actions.StoreOutcome.DONE, value
+
+    def nodes(self):
+        prefix = records.NODES_PREFIX
+        return [v for k, v in self.values.items() if k.startswith(prefix)]
+
+    def state(self, incarnation):
+        for value in self.nodes():
+            if member_module.incarnation_of(value.key) == incarnation:
+                return records.decode_node(value.data).state
+        return None
+
+
+class Process:
+    """One start of a daemon, at one address."""
+
+    def __init__(self, world, name, incarnation, address, zone, rate):
+        self.world = world
+        self.address = address
+        self.name = name
+        self.rate = rate
+        self.paused = False
+        self.alive = True
+        self.buffered = collections.deque()
+        self.faults = collections.deque()
+        self.page = None
+        self.page_write = None
+        self.released = set()
+        self.page_writes = 0
+        record = records.NodeRecord(
+            name=name,
+            incarnation=incarnation,
+            region="r",
+            zone=zone,
+            address=address,
+            peer_port=1,
+            http_port=2,
+        )
+        self.incarnation = incarnation
+        nodes = world.store.nodes()
+        self.member = member_module.Member(
+            record, world.timing, self.now_ms(), nodes
+        )
+        self.page = world.store.values.get(PAGE)
+
+    def now_ms(self):
+        return int(self.world.time * self.rate)
+
+    def serves(self):
+        if self.page is None:
+            return False
+        entry = records.decode_page(self.page.data).entries[0]
+        owns = entry.owner == self.incarnation
+        kept = entry.epoch not in self.released
+        return owns and kept and self.member.holder.live(self.now_ms())
+
+    def handle(self, event):
+        """Runs an event now, or after the pause."""
+        if not self.alive:
+            return
+        if self.paused:
+            self.buffered.append(event)
+        else:
+            event()
+
+    def tick(self):
+        now_ms = self.now_ms()
+        self.refresh()
+        self.perform(self.member.tick(now_ms))
+        if self.page_write is not None:
+            self.perform(self.page_write.tick(now_ms))
+        else:
+            self.take_if_free()
+
+    def refresh(self):
+        """Sees what the store holds, if it can reach it."""
+        if self.world.is_cut(self.address, STORE) or self.world.store_is_down:
+            return
+        for value in list(self.world.store.values.values()):
+            if value.key == PAGE:
+                self.see_page(value)
+            else:
+                self.perform(self.member.on_record(self.now_ms(), value))
+
+    def see_page(self, value):
+        if self.page is None or self.page.revision < value.revision:
+            self.page = value
+
+    def take_if_free(self):
+        if self.page is None or not self.member.holder.live(self.now_ms()):
+            return
+        entry = records.decode_page(self.page.data).entries[0]
+        known = self.member.known.get(entry.owner)
+        if known is None or known.record.state is records.NodeState.ENDED:
+            self.write_page(self.incarnation, entry.epoch + 1)
+
+    def release_to(self, next_owner):
+        """A planned move: stops serving, then names the next owner."""
+        if self.serves() and self.page_write is None and not self.paused:
+            entry = records.decode_page(self.page.data).entries[0]
+            self.released.add(entry.epoch)
+            self.write_page(next_owner, entry.epoch + 1)
+
+    def write_page(self, owner, epoch):
+        self.page_writes += 1
+        writer = f"{self.incarnation:x}.p{self.page_writes}"
+        data = encode_page(owner, epoch, writer)
+        old = records.decode_page(self.page.data)
+        old.writer = f"{writer}.old"
+        change = store_write.Change(
+            PAGE, data, writer, self.page.revision, records.encode_page(old)
+        )
+        self.page_write = store_write.StoreWrite(change)
+        self.perform(self.page_write.start(self.now_ms()))
+
+    def on_result(self, result):
+        write = self.page_write
+        if write is not None and write.owns(result.token):
+            asked, outcome = write.on_result(self.now_ms(), result)
+            self.perform(asked)
+            if outcome is not None:
+                self.page_write = None
+                if outcome.current is not None:
+                    self.see_page(outcome.current)
+            return
+        self.perform(self.member.on_result(self.now_ms(), result))
+
+    def on_datagram(self, message, source):
+        for action in self.member.on_datagram(self.now_ms(), message):
+            if isinstance(action, actions.Reply):
+                self.world.send(self.address, source, action.message)
+            else:
+                self.perform([action])
+
+    def perform(self, asked):
+        for action in asked:
+            if isinstance(action, actions.SendDatagram):
+                address = self.world.address_of(action.incarnation)
+                self.world.send(self.address, address, action.message)
+            elif isinstance(action, actions.Swap | actions.Read):
+                self.world.call_store(self, action)
+
+
+class World:
+    """The processes, the true time and everything that can fail.
+
+    Attributes:
+      time: true time in milliseconds.
+      at_address: the process that an address reaches.
+      delay: gives the delay of a datagram, None to lose it.
+      ended_at: true time at which each incarnation's end was recorded.
+    """
+
+    def __init__(
+        self, names=5, zones=5, rates=(), timing=None, delay=lambda: NETWORK_MS
+    ):
+        self.timing = timing or timing_module.Timing()
+        self.time = 0.0
+        self.events = []
+        self.events_made = 0
+        self.store = Store()
+        self.store_is_down = False
+        self.cuts = set()
+        self.delay = delay
+        self.processes = []
+        self.at_address = {}
+        self.addresses = {}
+        self.incarnations = 0
+        self.served_ms = []
+        self.is_checked = False
+        for index in range(names):
+            rate = rates[index] if index < len(rates) else 1.0
+            self.start(f"n{index}", f"n{index}", f"z{index % zones}", rate)
+
+    def start(self, name, address, zone, rate=1.0):
+        self.incarnations += 1
+        process = Process(self, name, self.incarnations, address, zone, rate)
+        process.zone = zone
+        self.processes.append(process)
+        self.at_address[address] = process
+        self.addresses[process.incarnation] = address
+        self.after(self.incarnations % 7, lambda: self.tick(process))
+        return process
+
+    def settle(self):
+        """Runs until every node has its witnesses; the first takes the shard.
+
+        The oracle checks from here on.
+        """
+        self.run(4_000)
+        owner = self.processes[0]
+        first = actions.Swap(
+            "", PAGE, encode_page(owner.incarnation, 1, "first"), 0
+        )
+        self.store.swap(first)
+        self.is_checked = True
+        self.run(200)
+        assert owner.serves()
+        return owner
+
+    def tick(self, process):
+        if process.alive:
+            if not process.paused:
+                process.tick()
+            self.after(TICK_MS, lambda: self.tick(process))
+
+    def after(self, delay_ms, event):
+        self.events_made += 1
+        when = self.time + delay_ms
+        heapq.heappush(self.events, (when, self.events_made, event))
+
+    def run(self, span_ms):
+        """Lets time pass and checks the oracle after every event."""
+        until = self.time + span_ms
+        while self.events and self.events[0][0] <= until:
+            self.time, _, event = heapq.heappop(self.events)
+            event()
+            if self.is_checked:
+                self.check()
+        self.time = until
+
+    def check(self):
+        serving = [p for p in self.processes if p.alive and p.serves()]
+        if len(serving) > 1:
+            raise TwoOwnersError(f"{[p.incarnation for p in serving]} serve")
+        self.served_ms.append((self.time, bool(serving)))
+        for process in self.processes:
+            live = process.alive and process.member.holder.live(
+                process.now_ms()
+            )
+            if live and self.has_ended(process.incarnation):
+                raise TwoOwnersError(f"{process.incarnation} lives on")
+
+    def has_ended(self, incarnation):
+        return self.store.state(incarnation) is records.NodeState.ENDED
+
+    def is_cut(self, one, other):
+        return (one, other) in self.cuts
+
+    def cut(self, one, others):
+        for other in others:
+            self.cuts |= {(one, other), (other, one)}
+
+    def heal(self):
+        self.cuts.clear()
+
+    def address_of(self, incarnation):
+        return self.addresses.get(incarnation)
+
+    def send(self, source, target, message):
+        delay_ms = self.delay()
+        if delay_ms is None or self.is_cut(source, target):
+            return
+        self.after(delay_ms, lambda: self.deliver(source, target, message))
+
+    def deliver(self, source, target, message):
+        process = self.at_address.get(target)
+        if process is not None:
+            process.handle(lambda: process.on_datagram(message, source))
+
+    def call_store(self, process, action):
+        fault = process.faults.popleft() if process.faults else Fault.NONE
+        cut = self.store_is_down or self.is_cut(process.address, STORE)
+        is_read = isinstance(action, actions.Read)
+        if cut or fault is Fault.REFUSED or (is_read and fault.value != "none"):
+            self.answer(process, action, STORE_MS, "unavailable")
+        elif fault is Fault.NONE:
+            self.after(STORE_MS, lambda: self.land(process, action))
+        else:
+            self.answer(process, action, CALL_TIMEOUT_MS, "unknown")
+            lands_after = {Fault.ANSWER_LOST: STORE_MS, Fault.LATE: 2_500}
+            if fault in lands_after:
+                self.after(lands_after[fault], lambda: self.store.swap(action))
+
+    def land(self, process, action):
+        if isinstance(action, actions.Read):
+            outcome = actions.StoreOutcome.DONE
+            current = self.store.values.get(action.key)
+        else:
+            outcome, current = self.store.swap(action)
+        self.answer(process, action, STORE_MS, outcome, current)
+
+    def answer(self, process, action, delay_ms, outcome, current=None):
+        result = actions.StoreResult(
+            action.token, actions.StoreOutcome(outcome), current
+        )
+        self.after(
+            delay_ms, lambda: process.handle(lambda: process.on_result(result))
+        )
+
+    def pause(self, process):
+        process.paused = True
+
+    def resume(self, process, tick_first=False):
+        process.paused = False
+        if tick_first and process.alive:
+            process.tick()
+        while process.buffered and not process.paused:
+            process.handle(process.buffered.popleft())
+
+    def kill(self, process):
+        process.alive = False
+
+    def restart(self, process):
+        """A new start at the same address; the old process is dead."""
+        self.kill(process)
+        return self.start(
+            process.name, process.address, process.zone, process.rate
+        )
+
+    def replace(self, process):
+        """A new start elsewhere, while the old one may only be frozen."""
+        address = f"{process.name}'{self.incarnations}"
+        return self.start(process.name, address, process.zone, process.rate)
+
+    def unavailable_ms(self, since):
+        """Time from `since` until the shard was served again."""
+        for time, served in self.served_ms:
+            if time > since and served:
+                return time - since
+        return None
+
+
+def encode_page(owner, epoch, writer):
+    page = records.AssignmentPage(
+        service="svc",
+        page=0,
+        entries=[records.ShardEntry(owner, epoch)],
+        writer=writer,
+    )
+    return records.encode_page(page)
