Accept the operators' files as one configuration that never reverts

Cause: there was no way from operators' files to a configuration that all nodes apply, and nothing that a racing operator would be told. Ruled out: one store key a file (acceptance would need several writes, and a reader could see half of them); letting a service change what maps its keys to shards (two nodes with different revisions would both accept one key). A service's layout is remembered after its removal.

--- /dev/null
+++ b/src/auburnrock/engine/configuration_rules.py
@@ -0,0 +1,260 @@
+"""What a configuration must keep to; each breach names file and field."""
+
+import json
+import re
+
+import msgspec
+
+from auburnrock import errors
+from auburnrock import records
+
+FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+SERVICE_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+HTTP_METHOD = re.compile(r"[A-Z]{1,16}")
+SHARDS_MAX = 1_048_576
+HOT_KEYS_MAX = 4_096
+SLOTS_MAX = 10_000
+CONNECTIONS_MAX = 100_000
+TIMEOUT_MS_MAX = 600_000
+CHURN_PER_MINUTE_MAX = 1_000_000
+WEIGHT_MAX = 1_000_000.0
+
+RANGES: dict[str, tuple[int, int]] = {
+    "shards": (1, SHARDS_MAX),
+    "slots": (1, SLOTS_MAX),
+    "connections": (1, CONNECTIONS_MAX),
+    "timeout_ms": (1, TIMEOUT_MS_MAX),
+    "churn_per_minute": (0, CHURN_PER_MINUTE_MAX),
+}
+WEIGHTS = ("imbalance", "churn", "unavailable_time")
+
+_EXPECTED = re.compile(r"Expected `([^`]*)`")
+_PATH = re.compile(r"at `\$\.?([^`]*)`")
+_UNKNOWN = re.compile(r"unknown field `([^`]*)`")
+
+
+class RejectedError(Exception):
+    """A configuration that breaks a rule.
+
+    Attributes:
+      file: file that breaks it.
+      field: field that is wrong, with dots.
+      got: what it holds.
+      accepted: what it may hold.
+    """
+
+    def __init__(self, file: str, field: str, got: str, accepted: str):
+        super().__init__(
+            f"file {file}: field {field}: got {got}; accepted: {accepted}"
+        )
+        self.file = file
+        self.field = field
+        self.got = got
+        self.accepted = accepted
+
+    def failure(self) -> errors.Failure:
+        """The rejection as a value."""
+        return errors.Failure(
+            errors.ErrorKind.CONFIGURATION_REJECTED, str(self)
+        )
+
+
+class _File(msgspec.Struct, forbid_unknown_fields=True):
+    services: dict[str, records.ServiceSettings] = {}
+
+
+def check_file_name(name: str) -> None:
+    """Raises RejectedError unless a file may have this name."""
+    if not FILE_NAME.fullmatch(name):
+        raise RejectedError(
+            name, "name", repr(name), "letters, digits, dots, - and _"
+        )
+
+
+def decode(name: str, text: str) -> object:
+    """The content of a file; raises RejectedError if it is not JSON."""
+    try:
+        content = msgspec.json.decode(text)
+        # Only this decoder shows a key that stands twice.
+        json.loads(text, object_pairs_hook=_unique)
+    except (ValueError, RecursionError) as error:
+        raise RejectedError(
+            name, "the whole file", str(error), "a JSON object"
+        ) from error
+    return content
+
+
+def check_types(name: str, content: object) -> None:
+    """Raises RejectedError unless each field has its type."""
+    try:
+        msgspec.convert(content, _File)
+    except msgspec.ValidationError as error:
+        raise _rejected_type(name, content, str(error)) from error
+
+
+def check_merged(
+    services: dict[str, records.ServiceSettings], files: dict[str, str]
+) -> None:
+    """Raises RejectedError unless all values lie in their ranges."""
+    for service, settings in services.items():
+        blame = _Blame(service, files)
+        if not SERVICE_NAME.fullmatch(service):
+            raise blame.rejected(
+                "", repr(service), "small letters, digits and -, at most 63"
+            )
+        _check_ranges(settings, blame)
+        _check_hot_keys(settings, blame)
+        _check_routes(settings, blame)
+
+
+def check_kept(
+    layouts: dict[str, records.KeyLayout],
+    services: dict[str, records.ServiceSettings],
+    files: dict[str, str],
+) -> None:
+    """Raises RejectedError if a key of a known service would change shards.
+
+    Nodes learn a new configuration at different times. If two of them mapped
+    a key to different shards, both shards' owners would accept it. So what
+    maps keys to shards stays for the life of the service's name; hot keys may
+    be added at the end, which `hot_keys.py` makes safe.
+    """
+    for service, settings in services.items():
+        layout = layouts.get(service)
+        if layout is None:
+            continue
+        blame = _Blame(service, files)
+        for field in ("divided_by_key", "shards"):
+            before = getattr(layout, field)
+            got = getattr(settings, field)
+            if got != before and (layout.divided_by_key or field != "shards"):
+                raise blame.rejected(
+                    field,
+                    json.dumps(got),
+                    f"{json.dumps(before)}, as it is fixed for the life of a"
+                    " service; use another name for another layout",
+                )
+        kept = len(layout.hot_keys)
+        if settings.hot_keys[:kept] != layout.hot_keys:
+            raise blame.rejected(
+                "hot_keys",
+                json.dumps(settings.hot_keys),
+                "the hot keys so far in the same order, then new ones:"
+                f" {json.dumps(layout.hot_keys)}",
+            )
+
+
+class _Blame:
+    """Finds the file that set a field: the last one that names it."""
+
+    def __init__(self, service: str, files: dict[str, str]):
+        self.service = service
+        self.files = files
+
+    def rejected(self, field: str, got: str, accepted: str) -> RejectedError:
+        path = [self.service, *field.split(".")] if field else [self.service]
+        dotted = ".".join(["services", *path])
+        return RejectedError(self.file_of(path), dotted, got, accepted)
+
+    def file_of(self, path: list[str]) -> str:
+        while path:
+            for name, text in reversed(self.files.items()):
+                if _names(json.loads(text).get("services", {}), path):
+                    return name
+            # A default is at fault: blame the file that makes it wrong.
+            path = path[:-1]
+        return "none"
+
+
+def _unique(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Builds an object; raises ValueError if a key stands twice."""
+    found: dict[str, object] = {}
+    for key, value in pairs:
+        if key in found:
+            raise ValueError(f"key {key!r} stands twice in one object")
+        found[key] = value
+    return found
+
+
+def _names(value: object, path: list[str]) -> bool:
+    for part in path:
+        if not isinstance(value, dict) or part not in value:
+            return False
+        value = value[part]
+    return True
+
+
+def _check_ranges(settings: records.ServiceSettings, blame: _Blame) -> None:
+    for field, (least, most) in RANGES.items():
+        got = getattr(settings, field)
+        if not least <= got <= most:
+            raise blame.rejected(
+                field, str(got), f"an integer from {least} to {most}"
+            )
+    for field in WEIGHTS:
+        got = getattr(settings.weights, field)
+        if not 0 <= got <= WEIGHT_MAX:
+            raise blame.rejected(
+                f"weights.{field}", str(got), f"from 0 to {WEIGHT_MAX:g}"
+            )
+
+
+def _check_hot_keys(settings: records.ServiceSettings, blame: _Blame) -> None:
+    hot_keys = settings.hot_keys
+    if not hot_keys:
+        return
+    problem = ""
+    if not settings.divided_by_key:
+        problem = "none, as the service is not divided by key"
+    elif len(hot_keys) > HOT_KEYS_MAX:
+        problem = f"at most {HOT_KEYS_MAX} keys"
+    elif "" in hot_keys or len(set(hot_keys)) < len(hot_keys):
+        problem = "keys that are not empty, each once"
+    if problem:
+        raise blame.rejected("hot_keys", json.dumps(hot_keys), problem)
+
+
+def _check_routes(settings: records.ServiceSettings, blame: _Blame) -> None:
+    for rule in settings.non_idempotent:
+        if not HTTP_METHOD.fullmatch(rule.method):
+            raise blame.rejected(
+                "non_idempotent",
+                f"method {rule.method!r}",
+                "an HTTP method in capitals",
+            )
+        if not rule.path_prefix.startswith("/"):
+            raise blame.rejected(
+                "non_idempotent",
+                f"path_prefix {rule.path_prefix!r}",
+                "a path that begins with /",
+            )
+
+
+def _rejected_type(name: str, content: object, message: str) -> RejectedError:
+    match = _PATH.search(message)
+    path = match.group(1) if match else ""
+    unknown = _UNKNOWN.search(message)
+    if unknown:
+        field = ".".join(filter(None, [path, unknown.group(1)]))
+        return RejectedError(
+            name, field, "an unknown field", _known_fields(path)
+        )
+    expected = _EXPECTED.search(message)
+    accepted = expected.group(1) if expected else message
+    got = re.search(r"got `([^`]*)`", message)
+    return RejectedError(
+        name,
+        path or "the whole file",
+        got.group(1) if got else type(content).__name__,
+        accepted,
+    )
+
+
+def _known_fields(path: str) -> str:
+    if not path:
+        return "services"
+    if path.endswith("weights"):
+        return ", ".join(WEIGHTS)
+    if "non_idempotent" in path:
+        return "method, path_prefix"
+    return ", ".join(records.ServiceSettings.__struct_fields__)
--- /dev/null
+++ b/src/auburnrock/engine/members.py
@@ -0,0 +1,176 @@
+"""A typed view of the node records in a replica."""
+
+import msgspec
+
+from auburnrock import records
+from auburnrock.engine import actions
+from auburnrock.engine import replica as replica_lib
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A node's record and the store's revision of it."""
+
+    record: records.NodeRecord
+    revision: int
+
+
+class Members:
+    """The nodes that the replica knows, by incarnation and by name.
+
+    A record that cannot be decoded is logged and skipped: the last one that
+    could be decoded stays. Its node counts as having a record, so that nobody
+    takes its shards because of nonsense in the store.
+
+    Attributes:
+      by_incarnation: the decoded records.
+      by_name: incarnations of each name.
+      listed: incarnations that have a record, even one that is nonsense.
+      version: grows with each change; lets users keep what they derived.
+    """
+
+    __slots__ = (
+        "_replica",
+        "_serving",
+        "by_incarnation",
+        "by_name",
+        "listed",
+        "version",
+    )
+
+    def __init__(self, replica: replica_lib.Replica):
+        self._replica = replica
+        self._serving: dict[str, list[records.NodeRecord]] = {}
+        self.by_incarnation: dict[int, Member] = {}
+        self.by_name: dict[str, set[int]] = {}
+        self.listed: set[int] = set()
+        self.version = 0
+
+    def update(self, changed: list[str]) -> list[actions.LogEvent]:
+        """Takes in the changed keys of the replica that are node records."""
+        events = []
+        for key in changed:
+            if _is_node(key):
+                events += self._update_key(key)
+        return events
+
+    def get(self, incarnation: int) -> records.NodeRecord | None:
+        """The record of an incarnation; None if there is none to read."""
+        member = self.by_incarnation.get(incarnation)
+        return member.record if member else None
+
+    def is_active(self, incarnation: int) -> bool:
+        """Whether a node may be given shards."""
+        record = self.get(incarnation)
+        return record is not None and record.state == records.NodeState.ACTIVE
+
+    def has_ended(self, incarnation: int, as_of_revision: int) -> bool:
+        """Whether an incarnation can never serve again.
+
+        A record that is missing proves the end only if the replica has every
+        change up to the revision that names the incarnation: before that, the
+        record may exist and not have arrived. A missing record then was
+        removed, and only records of ended nodes are.
+
+        Args:
+          incarnation: the incarnation.
+          as_of_revision: revision of the page that names it.
+        """
+        if incarnation == records.NO_OWNER:
+            return True
+        record = self.get(incarnation)
+        if record is not None:
+            return record.state == records.NodeState.ENDED
+        if incarnation in self.listed:
+            return False
+        return self._replica.revision >= as_of_revision
+
+    def changed(self, keys: list[str]) -> list[int]:
+        """The incarnations whose records are among these keys."""
+        named = [_parse_key(key) for key in keys if _is_node(key)]
+        return [pair[1] for pair in named if pair is not None]
+
+    def revision(self, incarnation: int) -> int:
+        """The store's revision of a record; 0 if there is none to read."""
+        member = self.by_incarnation.get(incarnation)
+        return member.revision if member else 0
+
+    def active(self) -> list[records.NodeRecord]:
+        """The ACTIVE nodes, by incarnation."""
+        return [
+            member.record
+            for _, member in sorted(self.by_incarnation.items())
+            if member.record.state == records.NodeState.ACTIVE
+        ]
+
+    def serving(self, service: str) -> list[records.NodeRecord]:
+        """The ACTIVE nodes beside a target of a service, by incarnation."""
+        if service not in self._serving:
+            self._serving[service] = [
+                record
+                for record in self.active()
+                if record.service == service and record.target_incarnation
+            ]
+        return self._serving[service]
+
+    def successor(self, incarnation: int) -> records.NodeRecord | None:
+        """The latest ACTIVE node of the same name, if it started later."""
+        record = self.get(incarnation)
+        if record is None:
+            return None
+        latest = max(self.by_name[record.name])
+        if latest <= incarnation or not self.is_active(latest):
+            return None
+        return self.get(latest)
+
+    def _update_key(self, key: str) -> list[actions.LogEvent]:
+        named = _parse_key(key)
+        if named is None:
+            return [_undecodable(key, "its key names no incarnation")]
+        name, incarnation = named
+        self.version += 1
+        self._serving.clear()
+        value = self._replica.get(key)
+        if value is None:
+            self._remove(name, incarnation)
+            return []
+        self.listed.add(incarnation)
+        try:
+            record = records.decode_node(value.data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return [_undecodable(key, str(error))]
+        if (record.name, record.incarnation) != (name, incarnation):
+            return [_undecodable(key, "it names another node than its key")]
+        self.by_incarnation[incarnation] = Member(record, value.revision)
+        self.by_name.setdefault(name, set()).add(incarnation)
+        return []
+
+    def _remove(self, name: str, incarnation: int) -> None:
+        self.listed.discard(incarnation)
+        self.by_incarnation.pop(incarnation, None)
+        known = self.by_name.get(name)
+        if known is None:
+            return
+        known.discard(incarnation)
+        if not known:
+            del self.by_name[name]
+
+
+def _is_node(key: str) -> bool:
+    return key.startswith(records.NODES_PREFIX)
+
+
+def _parse_key(key: str) -> tuple[str, int] | None:
+    name, _, digits = key.removeprefix(records.NODES_PREFIX).rpartition("/")
+    try:
+        incarnation = int(digits, 16)
+    except ValueError:
+        return None
+    if not name or records.node_key(name, incarnation) != key:
+        return None
+    return name, incarnation
+
+
+def _undecodable(key: str, problem: str) -> actions.LogEvent:
+    return actions.LogEvent(
+        "record_undecodable", [("key", key), ("problem", problem)]
+    )
--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -166,6 +166,20 @@
     churn_per_minute: int = 8
 
 
+class KeyLayout(msgspec.Struct, kw_only=True):
+    """What maps the keys of a service to shards, kept for its name's life.
+
+    Attributes:
+      divided_by_key: as in ServiceSettings.
+      shards: as in ServiceSettings.
+      hot_keys: as in ServiceSettings; it only grows at its end.
+    """
+
+    divided_by_key: bool
+    shards: int
+    hot_keys: list[str] = []
+
+
 class Configuration(msgspec.Struct, kw_only=True):
     """The accepted configuration: all files merged in the order of names.
 
@@ -174,12 +188,14 @@
       services: settings of each service by name.
       files: accepted content of each file by name; what `services` was
         merged from.
+      layouts: layout of each service that there ever was.
       writer: identifies the write, so that a lost answer can be resolved.
     """
 
     revision: int
     services: dict[str, ServiceSettings]
     files: dict[str, str] = {}
+    layouts: dict[str, KeyLayout] = {}
     writer: str = ""
 
 
