--- a/src/auburnrock/engine/configuration_rules.py
+++ b/src/auburnrock/engine/configuration_rules.py
@@ -127,7 +127,7 @@
         for field in ("divided_by_key", "shards"):
             before = getattr(layout, field)
             got = getattr(settings, field)
-            if got != before and (layout.divided_by_key or field != "shards"):
+            if got != before:
                 raise blame.rejected(
                     field,
                     json.dumps(got),
--- a/src/auburnrock/engine/needs.py
+++ b/src/auburnrock/engine/needs.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from auburnrock import records
+from auburnrock.engine import keys
 from auburnrock.engine import page_change
 from auburnrock.engine import pages as pages_lib
 from auburnrock.engine import view as view_lib
@@ -71,7 +72,7 @@
         self.keyed = {
             name: settings
             for name, settings in configuration.services.items()
-            if settings.divided_by_key
+            if keys.has_shards(settings)
         }
         for service, settings in self.keyed.items():
             for number in range(page_change.page_count(settings)):
--- /dev/null
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -0,0 +1,64 @@
+"""The daemon: one process beside each target.
+
+Usage: auburnrockd --settings=FILE
+"""
+
+import asyncio
+import signal
+import sys
+
+from absl import app
+from absl import flags
+import aiomisc
+import uvloop
+
+from auburnrock.engine import timing as timing_lib
+from auburnrock.platform import http as http_platform
+from auburnrock.shells import logs
+from auburnrock.shells import node as node_lib
+from auburnrock.shells import settings as settings_lib
+
+SETTINGS = flags.DEFINE_string(
+    "settings", None, "JSON file with the daemon's settings"
+)
+WRONG_SETTINGS_EXIT_CODE = 2
+
+
+def main(_arguments: list[str]) -> int:
+    """Runs the daemon until SIGTERM or SIGINT."""
+    if SETTINGS.value is None:
+        print("--settings is missing: name a JSON file", file=sys.stderr)
+        return WRONG_SETTINGS_EXIT_CODE
+    try:
+        settings = settings_lib.load(SETTINGS.value)
+    except settings_lib.SettingsError as error:
+        print(error, file=sys.stderr)
+        return WRONG_SETTINGS_EXIT_CODE
+    uvloop.run(serve(settings))
+    return 0
+
+
+async def serve(settings: settings_lib.DaemonSettings) -> None:
+    """Runs one node until it is told to stop."""
+    event_log = logs.event_log(settings.name)
+    platform = http_platform.connect(settings.platform)
+    node = node_lib.Node(settings, platform, event_log, timing_lib.Timing())
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    event_log.write("started", incarnation=f"{node.incarnation:016x}")
+    async with aiomisc.entrypoint(
+        *node.services, loop=loop, log_config=False, catch_signals=()
+    ):
+        await stopping.wait()
+    await platform.close()
+
+
+def run() -> None:
+    """Entry point of the installed command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -8,9 +8,8 @@
 from auburnrock import messages
 from auburnrock import records
 from auburnrock.engine import actions
-from auburnrock.engine import lease
+from auburnrock.engine import member
 from auburnrock.engine import timing as timing_lib
-from auburnrock.engine import witness
 from auburnrock.shells import action_runner
 from auburnrock.shells import clock
 from auburnrock.shells import datagrams
@@ -20,12 +19,12 @@
 TICK_S = 0.05
 
 
-class LeaseListener(abc.ABC):
-    """Is told when the lease has begun, ended or been renewed."""
+class TickListener(abc.ABC):
+    """Is told the time after each tick of the lease."""
 
     @abc.abstractmethod
-    def on_lease_tick(self, now_ms: int) -> None:
-        """Called after each tick of the lease."""
+    def on_tick(self, now_ms: int) -> None:
+        """Handles the tick; must not block."""
 
 
 class LeaseTask(
@@ -34,17 +33,16 @@
     store_sync.ChangeListener,
     action_runner.Part,
 ):
-    """Owns the datagram socket, the holder, the witness and the sealings.
+    """Owns the datagram socket and this node's part among its peers.
 
     Attributes:
-      address: IP number of this node.
-      port: UDP port of this node.
+      record: this node's record as it is at the start.
+      timing: the fleet's times.
       sync: owner of the replica.
       runner: carries out actions.
       event_log: where events go.
-      timing: the fleet's times.
-      holder: this node's lease; None before the replica is complete.
-      witness: this node as a witness.
+      listeners: are told the time after each tick.
+      member: the engine's part; None before the replica is complete.
     """
 
     def __init__(
@@ -61,9 +59,86 @@
         self.sync = sync
         self.runner = runner
         self.event_log = event_log
-        self.witness = witness.Witness(
-            record.name, record.incarnation, timing, clock.now_ms()
+        self.listeners: list[TickListener] = []
+        self.member: member.Member | None = None
+
+    async def start(self) -> None:
+        """Opens the socket, then ticks until cancelled."""
+        await self.sync.ready.wait()
+        self.member = member.Member(
+            self.record,
+            self.timing,
+            clock.now_ms(),
+            self.sync.view.replica.with_prefix(records.NODES_PREFIX),
+        )
+        self.sync.listeners.append(self)
+        self.runner.socket = await datagrams.open_socket(
+            self, self.record.address, self.record.peer_port
         )
-        self.holder: lease.Holder | None = None
-        self.listeners: list[LeaseListener] = []
-        self.was_live = False
+        self.start_event.set()
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_S)
+
+    def live(self) -> bool:
+        """Whether this node's lease is valid at this moment."""
+        return self.member is not None and self.member.holder.live(
+            clock.now_ms()
+        )
+
+    def left_ms(self, now_ms: int) -> int:
+        """How long the lease is still valid."""
+        if self.member is None:
+            return 0
+        return self.member.holder.left_ms(now_ms)
+
+    def on_datagram(
+        self, message: messages.Datagram, sender: tuple[str, int]
+    ) -> None:
+        """Handles a datagram; replies go to its sender."""
+        if self.member is None:
+            return
+        watermark = getattr(message, "watermark", 0)
+        if watermark > self.sync.view.replica.revision:
+            self.sync.on_hint(sender[0], sender[1], watermark)
+        asked = self.member.on_datagram(clock.now_ms(), message)
+        for action in asked:
+            if isinstance(action, actions.Reply):
+                self.runner.socket.send(action.message, sender)
+        self.runner.run(self, asked)
+
+    def on_garbage(self, reason: str) -> None:
+        """Notes a datagram that was no message."""
+        self.event_log.write("datagram_garbage", reason=reason)
+
+    def on_replica_changed(self, changed: list[str]) -> None:
+        """Takes in changed node records and tells the neighbours."""
+        now_ms = clock.now_ms()
+        replica = self.sync.view.replica
+        self.member.set_watermark(replica.revision)
+        for key in changed:
+            value = replica.values.get(key)
+            if key.startswith(records.NODES_PREFIX) and value is not None:
+                self.runner.run(self, self.member.on_record(now_ms, value))
+        self.runner.hint(self.neighbours())
+
+    def on_store_result(self, result: actions.StoreResult) -> None:
+        """Takes the result of a call to the store."""
+        asked = self.member.on_result(clock.now_ms(), result)
+        self.runner.run(self, asked)
+
+    def neighbours(self) -> list[int]:
+        """The nodes that witness this one and those that it witnesses.
+
+        These links make a random graph over the fleet, so news that each node
+        passes on to its neighbours reaches all in a few steps.
+        """
+        own = [w.incarnation for w in self.member.holder.record.witnesses]
+        return sorted({*own, *self.member.witness.watched})
+
+    def _tick(self) -> None:
+        now_ms = clock.now_ms()
+        self.member.set_watermark(self.sync.view.replica.revision)
+        self.runner.run(self, self.member.tick(now_ms))
+        for listener in self.listeners:
+            listener.on_tick(now_ms)
--- a/src/auburnrock/shells/store_sync.py
+++ b/src/auburnrock/shells/store_sync.py
@@ -64,6 +64,7 @@
       incarnation: this node's incarnation.
       event_log: where events go.
       store_reachable: whether the last read of the store succeeded.
+      ready: set once the replica is complete.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.event_log = event_log
         self.store_reachable = False
         self.listeners: list[ChangeListener] = []
+        self.ready = asyncio.Event()
         self._advanced = asyncio.Event()
         self._pull: asyncio.Task | None = None
         self._pull_goal = 0
@@ -91,6 +93,7 @@
         """Reads the whole store, then follows it until cancelled."""
         while not await self.read_store(EVERYTHING, 0.0):
             await asyncio.sleep(RETRY_S * (1 + random.random()))
+        self.ready.set()
         self.start_event.set()
         await self._follow()
 
@@ -174,9 +177,7 @@
             retry_s = min(2 * retry_s, LONGEST_RETRY_S)
 
     def _is_reader(self) -> bool:
-        active = [
-            record.incarnation for record in self.view.members.active()
-        ]
+        active = [record.incarnation for record in self.view.members.active()]
         return self.incarnation not in active or is_reader(
             self.incarnation, active
         )
