Add the request lifecycle, its retry budget and limits for targets

Cause: nothing decided yet when a request may be sent again, what its final answer may claim, or how much one target is given.

Ruled out: retries at the owner as well as at the entry (attempts multiply); holding a failure back until the deadline; a limit that compares the latest latency with the lowest one (a mix of quick and slow requests reads as congestion, so averages over a short and a long run are compared); failing a request when its connection is retired for silence (its late answer may still come), and leaving its place taken (a second attempt queues behind it).

Change: engine/request.py interprets request.json by a table compiled for each class (guarded_chart.py); retry.py, concurrency_limit.py, limits.py and connections.py are pure parts around it.

--- /dev/null
+++ b/src/auburnrock/engine/concurrency_limit.py
@@ -0,0 +1,121 @@
+"""How many requests one target may run at a time, learnt from outcomes.
+
+Growth as in TCP: slow start from a cold target's limit, then additive
+increase, one for each round at the limit; multiplicative decrease on
+congestion (Chiu and Jain 1989; Jacobson 1988). Congestion is a refusal by the
+target, a lost answer, or a recent latency well above the long-run one, as in
+TCP Vegas (Brakmo and Peterson 1995) and Netflix's Gradient2 limit. Both
+latencies are averages, so that a mix of quick and slow requests is no
+congestion.
+"""
+
+import enum
+
+COLD_LIMIT = 2.0
+LOWEST_LIMIT = 1.0
+DECREASE_FACTOR = 0.9
+LATENCY_TOLERANCE = 2.0
+SHORT_WEIGHT = 1 / 8
+LONG_WEIGHT = 1 / 256
+
+
+class Outcome(enum.Enum):
+    """How a request at the target ended.
+
+    DONE: a whole answer, whatever its status.
+    REFUSED: the target did not run it for lack of capacity.
+    LOST: sent, and no whole answer came.
+    ABANDONED: ended by its caller; says nothing about the target.
+    """
+
+    DONE = enum.auto()
+    REFUSED = enum.auto()
+    LOST = enum.auto()
+    ABANDONED = enum.auto()
+
+
+class ConcurrencyLimit:
+    """The learnt limit of one target.
+
+    Attributes:
+      slots: the most that the target runs at a time.
+      value: the limit, not rounded.
+      slow_start: whether each success still adds one.
+      short_ms: recent latency; 0 until there is a sample.
+      long_ms: long-run latency.
+      samples_to_hold: completions to wait before the next decrease, so that
+        one congestion counts once.
+    """
+
+    __slots__ = (
+        "long_ms",
+        "samples_to_hold",
+        "short_ms",
+        "slots",
+        "slow_start",
+        "value",
+    )
+
+    def __init__(self, slots: int):
+        self.slots = slots
+        self.value = min(COLD_LIMIT, float(slots))
+        self.slow_start = True
+        self.short_ms = 0.0
+        self.long_ms = 0.0
+        self.samples_to_hold = 0
+
+    def allowed(self) -> int:
+        """The limit as a whole number, in [1, slots]."""
+        return int(self.value)
+
+    def latency_ms(self) -> float:
+        """Recent latency of a request; 0 until there is a sample."""
+        return self.short_ms
+
+    def observe(
+        self, outcome: Outcome, latency_ms: float, was_full: bool
+    ) -> None:
+        """Learns from the end of one request.
+
+        Args:
+          outcome: how it ended.
+          latency_ms: how long it ran.
+          was_full: whether as many ran as the limit allows; growing a limit
+            that is not used would learn nothing.
+        """
+        if self.samples_to_hold > 0:
+            self.samples_to_hold -= 1
+        if outcome is Outcome.ABANDONED:
+            return
+        if outcome is Outcome.DONE:
+            self._observe_latency(latency_ms)
+        slow = self.short_ms > LATENCY_TOLERANCE * self.long_ms
+        if outcome is not Outcome.DONE or slow:
+            self._decrease()
+        elif was_full:
+            self._increase()
+
+    def _observe_latency(self, latency_ms: float) -> None:
+        if self.short_ms == 0.0:
+            self.short_ms = latency_ms
+            self.long_ms = latency_ms
+            return
+        self.short_ms += (latency_ms - self.short_ms) * SHORT_WEIGHT
+        self.long_ms += (latency_ms - self.long_ms) * LONG_WEIGHT
+        # After a slow spell the long-run latency follows down at once;
+        # otherwise the next congestion would go unseen.
+        if self.long_ms > LATENCY_TOLERANCE * self.short_ms:
+            self.long_ms = self.short_ms
+
+    def _increase(self) -> None:
+        step = 1.0 if self.slow_start else 1.0 / self.value
+        self.value = min(float(self.slots), self.value + step)
+        if self.value >= self.slots:
+            self.slow_start = False
+
+    def _decrease(self) -> None:
+        if self.samples_to_hold > 0:
+            return
+        self.samples_to_hold = self.allowed()
+        self.value = max(LOWEST_LIMIT, self.value * DECREASE_FACTOR)
+        self.slow_start = False
--- /dev/null
+++ b/src/auburnrock/engine/request.py
@@ -0,0 +1,445 @@
+"""Lifecycle of one request at its entry, as a state machine.
+
+The entry is the only layer that sends a request again. The chart is in
+request.json; `Lifecycle` holds the guards and steps that it names. The rules:
+
+* A failure ends the request at once unless the next attempt is known to be
+  harmless: either nothing ran, or the request is idempotent and the retry
+  budget allows it.
+* At most MAX_EXECUTIONS attempts of an idempotent request may have run, and
+  one of any other.
+* The final failure says "not run" only if no attempt can have run.
+"""
+
+import abc
+
+import msgspec
+
+from auburnrock import errors
+from auburnrock.engine import guarded_chart
+from auburnrock.engine import request_events
+from auburnrock.engine import retry
+
+MAX_SENDS = 8
+MAX_EXECUTIONS = 2
+MAX_WAITING = 1_024
+FIRST_PAUSE_MS = 50
+LONGEST_PAUSE_MS = 400
+
+MISROUTED_KINDS = frozenset(
+    {
+        errors.ErrorKind.NO_OWNER,
+        errors.ErrorKind.NOT_OWNER,
+        errors.ErrorKind.MOVING,
+        errors.ErrorKind.DRAINING,
+        errors.ErrorKind.NO_TARGET,
+        errors.ErrorKind.PEER_UNREACHABLE,
+    }
+)
+"""Nothing ran, and another node or the same one a little later can serve."""
+
+SHED_KINDS = frozenset(
+    {errors.ErrorKind.OVERLOADED, errors.ErrorKind.TARGET_REFUSED}
+)
+"""Nothing ran; only another target can help, and it costs retry budget."""
+
+REPEATABLE_KINDS = frozenset(
+    {errors.ErrorKind.OUTCOME_UNKNOWN, errors.ErrorKind.INTERNAL}
+)
+"""May have run; an idempotent request may be repeated within the budget."""
+
+
+class Route(abc.ABC):
+    """Where the attempts of one request can go, by what the entry knows."""
+
+    @abc.abstractmethod
+    def choose(self, avoid: list[int]) -> int:
+        """Incarnation to send to, 0 if none is known.
+
+        Args:
+          avoid: incarnations to choose only if there is no other.
+        """
+
+    @abc.abstractmethod
+    def silent_after_ms(self, node: int) -> int:
+        """How long a node may be silent before a second attempt is worth it."""
+
+
+class Details(msgspec.Struct, frozen=True):
+    """What the lifecycle needs to know of a request.
+
+    Attributes:
+      request_id: id that the answer must echo.
+      deadline_at_ms: when the request is given up, on the entry's clock.
+      idempotent: whether running it twice is harmless.
+      keyed: whether only the owner of its key can serve it.
+      has_idempotency_key: whether a repeat by the caller is recognised.
+    """
+
+    request_id: str
+    deadline_at_ms: int
+    idempotent: bool
+    keyed: bool
+    has_idempotency_key: bool = False
+
+
+class Entry:
+    """What all requests of one entry share for one service.
+
+    Attributes:
+      budget: the retry budget.
+      waiting: requests that now wait for an owner.
+      sends: requests sent to nodes so far, for the metrics.
+      repeats: those among them that took retry budget.
+    """
+
+    __slots__ = ("budget", "repeats", "sends", "waiting")
+
+    def __init__(self, now_ms: int):
+        self.budget = retry.RetryBudget(now_ms)
+        self.waiting = 0
+        self.sends = 0
+        self.repeats = 0
+
+
+Event = request_events.Event
+Actions = list[request_events.Action]
+
+UNKNOWN_RETRY_AFTER_MS = 500
+
+_NO_ACTIONS: Actions = []
+
+
+class Lifecycle:
+    """One request at its entry.
+
+    Attributes:
+      details: the request.
+      entry: state shared with the other requests.
+      route: chooses nodes.
+      random: a number in [0, 1) that spreads retry times.
+      state: state of the chart.
+      wake_at_ms: when to send a Tick; no use once the state is "ended".
+      outstanding: node of each attempt that has neither answer nor failure.
+      sends: attempts made.
+      unknown: attempts that failed and may have run.
+      failure: the latest failure.
+      tried: node of each attempt that failed.
+      avoid: those that refused since the table last advanced.
+      node: the node found by the latest guard.
+      hedge_at_ms: when the attempt counts as silent; None once judged.
+      resume_at_ms: end of the pause in the state "waiting".
+      pauses: pauses made, for their doubling.
+    """
+
+    __slots__ = (
+        "avoid",
+        "details",
+        "entry",
+        "failure",
+        "hedge_at_ms",
+        "node",
+        "outstanding",
+        "pauses",
+        "random",
+        "resume_at_ms",
+        "route",
+        "sends",
+        "state",
+        "tried",
+        "unknown",
+        "wake_at_ms",
+    )
+
+    table: guarded_chart.Table = {}
+
+    def __init_subclass__(cls):
+        """Resolves the chart's names against an overriding class."""
+        cls.table = guarded_chart.compile_for(cls, _CHART)
+
+    def __init__(
+        self, details: Details, entry: Entry, route: Route, random: float
+    ):
+        self.details = details
+        self.entry = entry
+        self.route = route
+        self.random = random
+        self.state = _CHART.initial
+        self.wake_at_ms = details.deadline_at_ms
+        self.outstanding: dict[int, int] = {}
+        self.sends = 0
+        self.unknown = 0
+        self.failure: errors.Failure | None = None
+        self.tried: list[int] = []
+        self.avoid: list[int] = []
+        self.node = 0
+        self.hedge_at_ms: int | None = None
+        self.resume_at_ms: int | None = None
+        self.pauses = 0
+
+    def handle(self, now_ms: int, event: Event) -> Actions:
+        """Takes one event; returns what to do, in order."""
+        name = type(event).__name__
+        if name in _ATTEMPT_EVENTS:
+            if event.attempt not in self.outstanding:
+                return _NO_ACTIONS
+            name = self._settle(event)
+        for row in self.table.get((self.state, name), ()):
+            for guard in row.guards:
+                if not guard(self, now_ms):
+                    break
+            else:
+                return self._take(now_ms, event, row)
+        return _NO_ACTIONS
+
+    def _take(
+        self, now_ms: int, event: Event, row: guarded_chart.CompiledRow
+    ) -> Actions:
+        if self.state == "waiting" and row.to != "waiting":
+            self.entry.waiting -= 1
+        self.state = row.to
+        return row.step(self, now_ms, event) if row.step else _NO_ACTIONS
+
+    def _settle(self, event: Event) -> str:
+        """Files the end of an attempt; returns the event's chart name."""
+        node = self.outstanding.pop(event.attempt)
+        if isinstance(event, request_events.Answered):
+            if event.response.request_id == self.details.request_id:
+                return "Answered"
+            self.failure = errors.Failure(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                f"the answer was for {event.response.request_id!r} instead"
+                f" of {self.details.request_id!r} and was dropped",
+            )
+        elif isinstance(event, request_events.Refused):
+            self.failure = event.failure
+        elif isinstance(event, request_events.Lost) and event.bytes_left:
+            self.failure = errors.Failure(
+                errors.ErrorKind.OUTCOME_UNKNOWN, event.message
+            )
+        else:
+            self.failure = errors.Failure(
+                errors.ErrorKind.PEER_UNREACHABLE, event.message
+            )
+        self.tried.append(node)
+        if errors.ANSWERS[self.failure.kind].ran is errors.Ran.NO:
+            self.avoid.append(node)
+        else:
+            self.unknown += 1
+        return "Failed"
+
+    # Guards -----------------------------------------------------------------
+
+    def expired(self, now_ms: int) -> bool:
+        """The deadline has passed."""
+        return now_ms >= self.details.deadline_at_ms
+
+    def has_node(self, now_ms: int) -> bool:
+        """There is a node that has not refused since the last news."""
+        self.node = self.route.choose(self.avoid)
+        return self.node != 0 and self.node not in self.avoid
+
+    def has_node_after_news(self, now_ms: int) -> bool:
+        """The advanced table names a node."""
+        self.avoid.clear()
+        return self.has_node(now_ms)
+
+    def has_node_after_pause(self, now_ms: int) -> bool:
+        """There is a node, even one that refused before the pause."""
+        self.avoid.clear()
+        return self.has_node(now_ms)
+
+    def has_other_node(self, now_ms: int) -> bool:
+        """The service has a node that has not refused this request."""
+        return not self.details.keyed and self.has_node(now_ms)
+
+    def has_repeat_node(self, now_ms: int) -> bool:
+        """There is a node for a repeat; the owner of a key may be the same."""
+        used = [*self.tried, *self.outstanding.values()]
+        self.node = self.route.choose(used)
+        return self.node != 0 and self.node not in self.avoid
+
+    def owner_changed(self, now_ms: int) -> bool:
+        """Another node owns the key than the one that has the request."""
+        if not self.details.keyed:
+            return False
+        owner = self.route.choose([])
+        return owner != 0 and owner not in self.outstanding.values()
+
+    def may_wait(self, now_ms: int) -> bool:
+        """Waiting for the table is worth it and does not fill the memory."""
+        return self.entry.waiting < MAX_WAITING
+
+    def pause_over(self, now_ms: int) -> bool:
+        """A waiting request may try again without news."""
+        return self.resume_at_ms is not None and now_ms >= self.resume_at_ms
+
+    def misrouted(self, now_ms: int) -> bool:
+        """The latest failure says that nothing ran and the place was wrong."""
+        return self.failure.kind in MISROUTED_KINDS and self.sends < MAX_SENDS
+
+    def shed(self, now_ms: int) -> bool:
+        """The latest failure says that nothing ran for lack of capacity."""
+        return self.failure.kind in SHED_KINDS and self.sends < MAX_SENDS
+
+    def repeatable(self, now_ms: int) -> bool:
+        """The attempt may have run, and running it again is harmless."""
+        return self.failure.kind in REPEATABLE_KINDS and self.may_run_again()
+
+    def hedgeable(self, now_ms: int) -> bool:
+        """A second attempt beside the silent one is harmless."""
+        return self.may_run_again()
+
+    def silent(self, now_ms: int) -> bool:
+        """The attempt has been silent past the node's usual answer time."""
+        return self.hedge_at_ms is not None and now_ms >= self.hedge_at_ms
+
+    def in_budget(self, now_ms: int) -> bool:
+        """The retry budget allows one more attempt."""
+        return self.entry.budget.allows(now_ms)
+
+    def may_run_again(self) -> bool:
+        """Whether one more attempt may run."""
+        executions = self.unknown + len(self.outstanding)
+        return (
+            self.details.idempotent
+            and executions < MAX_EXECUTIONS
+            and self.sends < MAX_SENDS
+        )
+
+    # Steps ------------------------------------------------------------------
+
+    def send(self, now_ms: int, event: Event) -> Actions:
+        """Sends to the node that the guard found."""
+        fresh = self.unknown + len(self.outstanding) > 0
+        assert not fresh or self.details.idempotent
+        self.sends += 1
+        self.entry.sends += 1
+        self.outstanding[self.sends] = self.node
+        self.resume_at_ms = None
+        self.hedge_at_ms = None
+        if self.details.idempotent and not fresh:
+            silence_ms = self.route.silent_after_ms(self.node)
+            self.hedge_at_ms = now_ms + silence_ms
+        self._set_wake(self.hedge_at_ms)
+        left_ms = self.details.deadline_at_ms - now_ms
+        action = request_events.Send(self.sends, self.node, left_ms, fresh)
+        return [action]
+
+    def retry(self, now_ms: int, event: Event) -> Actions:
+        """Sends again at the cost of the retry budget."""
+        self._spend()
+        return self.send(now_ms, event)
+
+    def hedge(self, now_ms: int, event: Event) -> Actions:
+        """Sends a second attempt beside the silent one."""
+        return self.retry(now_ms, event)
+
+    def wait(self, now_ms: int, event: Event) -> Actions:
+        """Waits for news of the table, or for the end of a pause."""
+        self.entry.waiting += 1
+        return self.pause_again(now_ms, event)
+
+    def pause_again(self, now_ms: int, event: Event) -> Actions:
+        """Goes on waiting, for a longer pause."""
+        pause_ms = retry.backoff_ms(
+            self.pauses, FIRST_PAUSE_MS, LONGEST_PAUSE_MS
+        )
+        self.pauses += 1
+        self.resume_at_ms = now_ms + pause_ms
+        self._set_wake(self.resume_at_ms)
+        return _NO_ACTIONS
+
+    def wait_to_retry(self, now_ms: int, event: Event) -> Actions:
+        """Pays for a repeat and waits for a node to send it to."""
+        self._spend()
+        return self.wait(now_ms, event)
+
+    def wait_on(self, now_ms: int, event: Event) -> Actions:
+        """Leaves a silent attempt alone until the deadline."""
+        self.hedge_at_ms = None
+        self._set_wake(None)
+        return _NO_ACTIONS
+
+    def reply(self, now_ms: int, event: Event) -> Actions:
+        """Gives the caller its answer and drops the other attempt."""
+        if event.response.status < 500:
+            self.entry.budget.succeeded()
+        return [
+            request_events.Reply(event.response),
+            *self._cancel_outstanding(),
+        ]
+
+    def refuse(self, now_ms: int, event: Event) -> Actions:
+        """Gives up with the latest failure."""
+        return self._refuse(self.failure)
+
+    def refuse_expired(self, now_ms: int, event: Event) -> Actions:
+        """Gives up at the deadline."""
+        seen = self.failure.message if self.failure else "it was not sent"
+        failure = errors.Failure(
+            errors.ErrorKind.DEADLINE_EXCEEDED,
+            f"the deadline passed; last seen: {seen}",
+        )
+        return self._refuse(failure)
+
+    def refuse_no_owner(self, now_ms: int, event: Event) -> Actions:
+        """Gives up because too many requests already wait."""
+        failure = errors.Failure(
+            errors.ErrorKind.NO_OWNER,
+            f"no node is known and {MAX_WAITING} requests already wait",
+        )
+        return self._refuse(failure)
+
+    def cancel(self, now_ms: int, event: Event) -> Actions:
+        """Abandons the attempts of a caller that has gone."""
+        return self._cancel_outstanding()
+
+    def _refuse(self, failure: errors.Failure) -> Actions:
+        final = self.final_failure(failure)
+        return [request_events.Refuse(final), *self._cancel_outstanding()]
+
+    def final_failure(self, failure: errors.Failure) -> errors.Failure:
+        """The failure as the caller may be told it.
+
+        "Not run" becomes "outcome unknown" if any attempt may have run, and
+        the time to come back is spread so that callers do not return at once
+        together.
+        """
+        may_have_run = self.unknown > 0 or bool(self.outstanding)
+        kind = failure.kind
+        if may_have_run and errors.ANSWERS[kind].ran is errors.Ran.NO:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+            failure = errors.Failure(kind, failure.message)
+        retry_after_ms = failure.answer().retry_after_ms
+        safe_to_repeat = (
+            self.details.idempotent or self.details.has_idempotency_key
+        )
+        if kind is errors.ErrorKind.OUTCOME_UNKNOWN and safe_to_repeat:
+            retry_after_ms = retry_after_ms or UNKNOWN_RETRY_AFTER_MS
+        if retry_after_ms is not None:
+            retry_after_ms = retry.jittered_ms(retry_after_ms, self.random)
+        return errors.Failure(kind, failure.message, retry_after_ms)
+
+    def _cancel_outstanding(self) -> Actions:
+        if not self.outstanding:
+            return _NO_ACTIONS
+        actions = [
+            request_events.Cancel(attempt, node)
+            for attempt, node in self.outstanding.items()
+        ]
+        self.outstanding.clear()
+        return actions
+
+    def _spend(self) -> None:
+        self.entry.budget.spend()
+        self.entry.repeats += 1
+
+    def _set_wake(self, at_ms: int | None) -> None:
+        deadline = self.details.deadline_at_ms
+        self.wake_at_ms = deadline if at_ms is None else min(at_ms, deadline)
+
+
+_ATTEMPT_EVENTS = frozenset({"Answered", "Refused", "NotSent", "Lost"})
+_CHART = guarded_chart.load("request.json")
+Lifecycle.table = guarded_chart.compile_for(Lifecycle, _CHART)
