--- a/src/auburnrock/shells/router.py
+++ b/src/auburnrock/shells/router.py
@@ -13,6 +13,7 @@
 from auburnrock import records
 from auburnrock.engine import connections
 from auburnrock.engine import request as request_lib
+from auburnrock.engine import request_events
 from auburnrock.engine import view as view_lib
 from auburnrock.shells import clock
 from auburnrock.shells import frames
@@ -116,7 +117,7 @@
         exchange = Exchange(self, request)
         self.exchanges.add(exchange)
         try:
-            exchange.handle(request_lib.Start())
+            exchange.handle(request_events.Start())
             return await exchange.answer
         finally:
             exchange.close()
@@ -125,7 +126,7 @@
     def on_table_advanced(self) -> None:
         """Tells the open requests that the replica has news."""
         for exchange in list(self.exchanges):
-            exchange.handle(request_lib.TableAdvanced())
+            exchange.handle(request_events.TableAdvanced())
 
     def entry(self, service: str) -> request_lib.Entry:
         """The state shared by the requests of a service."""
@@ -152,7 +153,7 @@
         return AnyNodeRoute(self, request.service)
 
     async def send(
-        self, send: request_lib.Send, request: messages.Request
+        self, send: request_events.Send, request: messages.Request
     ) -> messages.Response | messages.Refusal:
         """Sends one attempt; raises PeerError."""
         attempt = messages.Request(
@@ -229,7 +230,7 @@
             random.random(),
         )
 
-    def handle(self, event: request_lib.Event) -> None:
+    def handle(self, event: request_events.Event) -> None:
         """Gives the lifecycle an event and does what it asks."""
         if self.answer.done():
             return
@@ -241,24 +242,24 @@
     def close(self) -> None:
         """Abandons what is left, as when the caller has gone."""
         if not self.answer.done():
-            self.lifecycle.handle(clock.now_ms(), request_lib.CallerGone())
+            self.lifecycle.handle(clock.now_ms(), request_events.CallerGone())
         if self._timer is not None:
             self._timer.cancel()
         for task in self.attempts.values():
             task.cancel()
 
-    def _act(self, action: request_lib.Action) -> None:
+    def _act(self, action: request_events.Action) -> None:
         match action:
-            case request_lib.Send():
+            case request_events.Send():
                 task = self.loop.create_task(self._attempt(action))
                 self.attempts[action.attempt] = task
-            case request_lib.Cancel():
+            case request_events.Cancel():
                 task = self.attempts.pop(action.attempt, None)
                 if task is not None:
                     task.cancel()
-            case request_lib.Reply():
+            case request_events.Reply():
                 self.answer.set_result(action.response)
-            case request_lib.Refuse():
+            case request_events.Refuse():
                 self.answer.set_result(self._refusal(action.failure))
 
     def _refusal(self, failure: errors.Failure) -> messages.Refusal:
@@ -271,7 +272,7 @@
             self.router.view.replica.revision,
         )
 
-    async def _attempt(self, send: request_lib.Send) -> None:
+    async def _attempt(self, send: request_events.Send) -> None:
         began_ms = clock.now_ms()
         try:
             frame = await self.router.send(send, self.request)
@@ -280,7 +281,7 @@
         else:
             event = _ended(send.attempt, frame)
         self.attempts.pop(send.attempt, None)
-        if isinstance(event, request_lib.Answered):
+        if isinstance(event, request_events.Answered):
             answer_ms = clock.now_ms() - began_ms
             self.router.answer_time(send.node).observe(answer_ms)
         self.handle(event)
@@ -299,22 +300,22 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self.handle(request_lib.Tick())
+        self.handle(request_events.Tick())
 
 
-def _ended(attempt: int, frame: messages.Frame) -> request_lib.Event:
+def _ended(attempt: int, frame: messages.Frame) -> request_events.Event:
     match frame:
         case messages.Response():
-            return request_lib.Answered(attempt, frame)
+            return request_events.Answered(attempt, frame)
         case messages.Refusal():
             failure = errors.Failure(
                 frame.kind, frame.message, frame.retry_after_ms
             )
-            return request_lib.Refused(attempt, failure)
-    return request_lib.Lost(attempt, f"got {type(frame).__name__}")
+            return request_events.Refused(attempt, failure)
+    return request_events.Lost(attempt, f"got {type(frame).__name__}")
 
 
-def _failed(attempt: int, error: frames.PeerError) -> request_lib.Event:
+def _failed(attempt: int, error: frames.PeerError) -> request_events.Event:
     if error.sent:
-        return request_lib.Lost(attempt, str(error))
-    return request_lib.NotSent(attempt, str(error))
+        return request_events.Lost(attempt, str(error))
+    return request_events.NotSent(attempt, str(error))
