--- a/src/auburnrock_standins/serving.py
+++ b/src/auburnrock_standins/serving.py
@@ -3,6 +3,12 @@
 from aiohttp import web
 import msgspec
 
+SWITCHES_PATH = "/auburnrock/switches"
+"""GET and POST at each stand-in: its switches for failures."""
+
+SHUTDOWN_LIMIT_S = 0.2
+"""How long requests may go on when a stand-in is stopped; some hang."""
+
 
 async def read(request: web.Request, message_type):
     """Decodes a JSON body; a 400 answer if it is not of the type."""
@@ -26,7 +32,9 @@
     application: web.Application, address: str, port: int
 ) -> web.AppRunner:
     """Begins to serve and prints the address, for who started the program."""
-    runner = web.AppRunner(application, access_log=None)
+    runner = web.AppRunner(
+        application, access_log=None, shutdown_timeout=SHUTDOWN_LIMIT_S
+    )
     await runner.setup()
     site = web.TCPSite(runner, address, port)
     await site.start()
