Serve a request from end to end between separate processes

Cause: the first run over processes showed two faults: header names of aiohttp are no plain str and broke the encoding of an answer, and a connection that had been idle was taken for silent as soon as it was used again.

--- a/src/auburnrock/shells/frames.py
+++ b/src/auburnrock/shells/frames.py
@@ -65,7 +65,8 @@
       handler: receives requests, cancels and pulls.
       transport: the connection's transport once it is open.
       exchanges: futures of the exchanges that wait for an answer, by stream.
-      last_received_s: loop time of the last bytes received.
+      quiet_since_s: loop time since when the peer owes an answer and has
+        sent nothing.
       retired: no new exchange may use this connection.
     """
 
@@ -74,7 +75,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchanges: dict[int, asyncio.Future] = {}
         self.loop = asyncio.get_running_loop()
-        self.last_received_s = self.loop.time()
+        self.quiet_since_s = self.loop.time()
         self.retired = False
         self._next_stream = 0
         self._received = bytearray()
@@ -90,7 +91,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Called by asyncio with received bytes."""
-        self.last_received_s = self.loop.time()
+        self.quiet_since_s = self.loop.time()
         self._received += data
         offset = 0
         try:
@@ -117,6 +118,9 @@
 
     def open_exchange(self) -> tuple[int, asyncio.Future]:
         """Reserves a stream number and the future of its answer."""
+        if not self.exchanges:
+            # An idle connection owed nothing, so its silence meant nothing.
+            self.quiet_since_s = self.loop.time()
         self._next_stream += 1
         future = self.loop.create_future()
         self.exchanges[self._next_stream] = future
@@ -146,7 +150,7 @@
         """Pings a quiet connection in use; ends one that does not answer."""
         if not self.exchanges:
             return
-        silence_s = self.loop.time() - self.last_received_s
+        silence_s = self.loop.time() - self.quiet_since_s
         if silence_s > SILENT_AFTER_S:
             message = f"the peer was silent for {silence_s:.2f} s"
             self.end(PeerError(message, sent=True, silent=True))
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -80,14 +80,16 @@
         stream = request.stream
         try:
             answer = await self.executor.execute(request)
+            answer.stream = stream
+            connection.send(answer)
         except Exception as error:
             # The peer must get an answer whatever went wrong here.
-            answer = self.executor.refuse(
+            refusal = self.executor.refuse(
                 request,
                 errors.Failure(errors.ErrorKind.INTERNAL, repr(error)),
             )
-        answer.stream = stream
-        connection.send(answer)
+            refusal.stream = stream
+            connection.send(refusal)
 
 
 class PeerServer(aiomisc.Service):
--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -233,8 +233,9 @@
         raise base.RefusedError(
             kind, f"target refused with status {response.status}"
         )
+    # aiohttp's header names are a subclass of str, which msgspec refuses.
     headers = [
-        (name, value)
+        (str(name), str(value))
         for name, value in response.headers.items()
         if name.lower() not in _NOT_PASSED_ON
     ]
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -6,7 +6,7 @@
 from auburnrock.platform import http
 from auburnrock.platform import http_messages
 from auburnrock_standins import platform_switches
-from tests.common import processes
+from auburnrock_standins import processes
 from tests.common import standins
 
 OUTAGE = platform_switches.Outage
--- a/tests/cover/test_processes.py
+++ b/tests/cover/test_processes.py
@@ -12,9 +12,9 @@
 from auburnrock.targets import http as target_http
 from auburnrock.targets import protocol
 from auburnrock_standins import forwarder
+from auburnrock_standins import processes
 from auburnrock_standins import serving
 from auburnrock_standins import target_switches
-from tests.common import processes
 from tests.common import standins
 
 
