End the connection of an answer that names another request

Cause: closing an aiohttp response leaves its connection in the pool when the whole body came together with the head, so a connection that gave a crossed answer was used again. Ruled out: closing the session (it ends other requests); the hidden second attempt of aiohttp, which has its own test for each method. The change: the response keeps its transport and aborts it.

--- a/src/auburnrock/shells/http_client.py
+++ b/src/auburnrock/shells/http_client.py
@@ -6,6 +6,8 @@
 passes on.
 """
 
+import asyncio
+
 import aiohttp
 
 
@@ -35,6 +37,26 @@
         self.cause = cause
 
 
+class Response(aiohttp.ClientResponse):
+    """An answer whose connection can be ended at any time.
+
+    `close` of the base class leaves the connection in the pool if the whole
+    body came with the head.
+    """
+
+    transport: asyncio.BaseTransport | None = None
+
+    async def start(self, connection) -> aiohttp.ClientResponse:
+        """Called by aiohttp when the request was sent."""
+        self.transport = connection.transport
+        return await super().start(connection)
+
+    def drop_connection(self) -> None:
+        """Ends the connection, also when it is back in the pool."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
 async def _stop_retries(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -67,6 +89,8 @@
       idle_limit_s: how long an idle connection may be used again, in seconds;
         None gives each request a connection of its own.
 
+    Answers are of the class Response.
+
     Requests must pass `trace_request_ctx=Attempt()`, and `allow_redirects=
     False` where a second request is not wanted. Failures of the connection
     are raised as NotRetriedError, of the answer as aiohttp.ClientError.
@@ -81,7 +105,13 @@
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=["User-Agent", "Accept-Encoding", "Content-Type"],
+        skip_auto_headers=[
+            "Accept",
+            "User-Agent",
+            "Accept-Encoding",
+            "Content-Type",
+        ],
+        response_class=Response,
         middlewares=[_stop_retries],
         trace_configs=[_tracing()],
         timeout=aiohttp.ClientTimeout(total=None),
--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -136,7 +136,7 @@
             echoed = response.headers.get(protocol.REQUEST_ID_HEADER)
             if echoed != work.request_id:
                 # Whatever comes next on it answers something else.
-                response.close()
+                response.drop_connection()
                 raise base.LostError(
                     f"answer to request {echoed!r} came for request"
                     f" {work.request_id!r}; closed the connection",
--- /dev/null
+++ b/tests/cover/test_target_client.py
@@ -0,0 +1,283 @@
+import asyncio
+import contextlib
+
+import pytest
+
+from auburnrock import errors
+from auburnrock.shells import clock
+from auburnrock.targets import base
+from auburnrock.targets import http
+from auburnrock_standins import grants
+from auburnrock_standins import target_switches
+from tests.common import processes
+from tests.common import standins
+
+
+def whole(head: str) -> bytes:
+    """An answer that echoes the request's identifier."""
+    lines = dict(line.split(": ", 1) for line in head.splitlines()[1:] if line)
+    request_id = lines["Auburnrock-Request-Id"]
+    return (
+        f"HTTP/1.1 200 OK\r\nAuburnrock-Request-Id: {request_id}\r\n"
+        "Content-Length: 2\r\n\r\nok"
+    ).encode()
+
+
+def hang_up(head: str) -> None:
+    """Reads the request and closes the connection without an answer."""
+
+
+@contextlib.asynccontextmanager
+async def client_of(address: str):
+    client = http.connect(address)
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_a_request_is_never_sent_twice(method):
+    """aiohttp sends idempotent methods again on a reused connection."""
+    async with (
+        standins.scripted(whole, hang_up, whole) as server,
+        client_of(server.address) as client,
+    ):
+        await client.run(standins.work("r1", method=method))
+        with pytest.raises(base.LostError) as lost:
+            await client.run(standins.work("r2", method=method))
+    assert lost.value.connection_ended
+    assert len(server.requests) == 2
+
+
+async def test_a_redirect_is_an_answer_and_not_followed():
+    def redirect(head: str) -> bytes:
+        return whole(head).replace(b"200 OK", b"307 T\r\nLocation: /other")
+
+    async with (
+        standins.scripted(redirect, whole) as server,
+        client_of(server.address) as client,
+    ):
+        answer = await client.run(standins.work())
+    assert answer.status == 307
+    assert len(server.requests) == 1
+
+
+async def test_no_connection_means_not_sent():
+    (port,) = processes.free_ports(1)
+    async with client_of(f"127.0.0.1:{port}") as client:
+        with pytest.raises(base.NotSentError) as not_sent:
+            await client.run(standins.work())
+        with pytest.raises(base.NotSentError):
+            await client.grant(standins.grant("x", {}))
+    assert not_sent.value.failure.answer().ran is errors.Ran.NO
+
+
+async def test_crossed_answers_reach_neither_caller():
+    async with standins.target() as target:
+        await processes.switch(
+            target.address, target_switches.TargetSwitches(cross_pairs=1)
+        )
+        outcomes = await asyncio.gather(
+            target.client.run(standins.work("r1")),
+            target.client.run(standins.work("r2")),
+            return_exceptions=True,
+        )
+        assert [type(outcome) for outcome in outcomes] == [base.LostError] * 2
+        after = await target.client.run(standins.work("r3"))
+        assert after.status == 200
+
+
+async def test_an_answer_without_the_identifier_ends_its_connection():
+    def anonymous(head: str) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+    async with (
+        standins.scripted(anonymous, whole) as server,
+        client_of(server.address) as client,
+    ):
+        with pytest.raises(base.LostError):
+            await client.run(standins.work("r1"))
+        await client.run(standins.work("r2"))
+    assert server.connections == 2
+
+
+async def test_a_truncated_answer_is_lost():
+    async with standins.target() as target:
+        await processes.switch(
+            target.address, target_switches.TargetSwitches(truncate=1)
+        )
+        with pytest.raises(base.LostError) as lost:
+            await target.client.run(standins.work())
+        assert lost.value.connection_ended
+
+
+async def test_a_silent_connection_is_told_from_a_new_one():
+    async with standins.target() as target:
+        await target.client.run(standins.work("r1"))
+        await processes.switch(
+            target.address,
+            target_switches.TargetSwitches(silence_connections=True),
+        )
+        with pytest.raises(base.LostError) as lost:
+            await target.client.run(standins.work("r2", deadline_ms=100))
+        assert lost.value.silent
+        assert not lost.value.connection_ended
+        await target.client.run(standins.work("r3"), fresh_connection=True)
+        ran = [e.request_id for e in target.server.executions]
+        assert ran == ["r1", "r3"]
+
+
+async def test_a_late_answer_reaches_no_later_request():
+    async with standins.target() as target:
+        await processes.switch(
+            target.address, target_switches.TargetSwitches(late_ms=300)
+        )
+        with pytest.raises(base.LostError):
+            await target.client.run(standins.work("r1", deadline_ms=100))
+        await processes.switch(target.address, target_switches.TargetSwitches())
+        answer = await target.client.run(standins.work("r2"))
+        assert ("Auburnrock-Request-Id", "r2") in answer.headers
+
+
+async def test_a_cancelled_request_stops_at_the_target():
+    async with standins.target(service_time_ms=60_000) as target:
+        run = asyncio.create_task(target.client.run(standins.work("r1")))
+        while not target.server.running:
+            await asyncio.sleep(0.01)
+        await target.client.cancel("r1")
+        with pytest.raises(base.LostError):
+            await run
+        while target.server.running:
+            await asyncio.sleep(0.01)
+        assert target.server.executions[0].cancelled
+
+
+async def test_a_full_queue_refuses_without_running():
+    async with standins.target(slots=1, queue=0, service_time_ms=200) as target:
+        running = asyncio.create_task(target.client.run(standins.work("r1")))
+        while not target.server.running:
+            await asyncio.sleep(0.01)
+        with pytest.raises(base.RefusedError) as refused:
+            await target.client.run(standins.work("r2"))
+        assert refused.value.failure.kind is errors.ErrorKind.OVERLOADED
+        await running
+        assert len(target.server.executions) == 1
+
+
+@pytest.mark.parametrize("name", [None, "nonsense", "outcome_unknown"])
+def test_a_refusal_never_takes_a_kind_that_may_have_run(name):
+    assert http.refused_kind(name) is errors.ErrorKind.TARGET_REFUSED
+
+
+async def test_the_grant_is_checked_when_the_work_starts():
+    """Queued under a grant that ended before its slot came free."""
+    async with standins.target(
+        checks_grants=True, slots=1, service_time_ms=300
+    ) as target:
+        incarnation = target.server.incarnation
+        await target.client.grant(standins.grant(incarnation, {3: 1}))
+        first = asyncio.create_task(
+            target.client.run(standins.work("r1", shard=3, epoch=1))
+        )
+        while not target.server.running:
+            await asyncio.sleep(0.01)
+        second = asyncio.create_task(
+            target.client.run(standins.work("r2", shard=3, epoch=1))
+        )
+        while not target.server.queued:
+            await asyncio.sleep(0.01)
+        released = await target.client.grant(standins.grant(incarnation, {}))
+        assert released.running == {3: 1}
+        await first
+        with pytest.raises(base.RefusedError):
+            await second
+        ran = [e.request_id for e in target.server.executions]
+        assert ran == ["r1"]
+
+
+async def test_a_frozen_target_refuses_work_after_its_grant_ended():
+    async with standins.target(checks_grants=True) as target:
+        incarnation = target.server.incarnation
+        await target.client.grant(standins.grant(incarnation, {3: 1}, 50))
+        await asyncio.sleep(0.06)
+        with pytest.raises(base.RefusedError):
+            await target.client.run(standins.work("r1", shard=3, epoch=1))
+        assert not target.server.executions
+
+
+def test_a_grant_for_another_start_or_past_its_end_is_refused():
+    holder = grants.GrantHolder("t1")
+    now_ms = clock.now_ms()
+    assert holder.refusal(standins.grant("t2", {3: 1}), now_ms)
+    assert holder.refusal(standins.grant("t1", {3: 1}, -1), now_ms)
+    assert holder.refusal(standins.grant("t1", {3: 1}), now_ms) is None
+
+
+def test_an_epoch_lower_than_one_seen_is_refused():
+    holder = grants.GrantHolder("t1")
+    holder.accept(standins.grant("t1", {3: 7}))
+    assert holder.refusal(standins.grant("t1", {3: 6}), clock.now_ms())
+    assert not holder.allows(3, 6, clock.now_ms())
+    assert holder.allows(3, 7, clock.now_ms())
+
+
+def test_a_late_grant_does_not_bring_a_released_shard_back():
+    holder = grants.GrantHolder("t1")
+    late = standins.grant("t1", {3: 7, 4: 1})
+    holder.accept(late)
+    holder.accept(standins.grant("t1", {4: 1}))
+    assert holder.refusal(late, clock.now_ms())
+    holder.accept(standins.grant("t1", {3: 8, 4: 1}))
+    assert holder.allows(3, 8, clock.now_ms())
+
+
+async def test_reports_lie_and_lag_as_switched():
+    async with standins.target(service_time_ms=60_000) as target:
+        switches = target_switches.TargetSwitches(
+            healthy=False, report_lag_ms=60_000
+        )
+        await processes.switch(target.address, switches)
+        assert not (await target.client.health()).healthy
+        assert (await target.client.load()).running == 0
+        run = asyncio.create_task(target.client.run(standins.work("r1")))
+        while not target.server.running:
+            await asyncio.sleep(0.01)
+        assert (await target.client.load()).running == 0
+        await processes.switch(target.address, target_switches.TargetSwitches())
+        assert (await target.client.load()).running == 1
+        run.cancel()
+
+
+async def test_a_shedding_target_refuses_all_work():
+    async with standins.target() as target:
+        await processes.switch(
+            target.address, target_switches.TargetSwitches(shed=True)
+        )
+        with pytest.raises(base.RefusedError):
+            await target.client.run(standins.work())
+        assert not target.server.executions
+
+
+async def test_a_cold_target_is_slow_at_first():
+    async with standins.target(
+        cold_start_ms=60_000, cold_service_time_ms=50, service_time_ms=0
+    ) as target:
+        await target.client.run(standins.work("r1"))
+        target.server.started_ms -= 60_000
+        await target.client.run(standins.work("r2"))
+        cold, warm = target.server.executions
+        assert cold.ended_ms - cold.started_ms >= 49
+        assert target.server.run_time_ms() == 0
+        assert warm.ended_ms is not None
+
+
+async def test_a_frozen_loop_answers_when_it_goes_on():
+    async with standins.target() as target:
+        await processes.switch(
+            target.address, target_switches.TargetSwitches(freeze_ms=100)
+        )
+        began_ms = clock.now_ms()
+        await asyncio.sleep(0.05)
+        assert clock.now_ms() - began_ms >= 100
+        assert (await target.client.run(standins.work())).status == 200
