Test the store's slowness and its share of lost answers

Cause: two switches of the platform stand-in had no test. Ruled out: nothing; the switches worked as written. The change: one test for slowness, one more case for lost answers.

--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -90,9 +90,12 @@
         assert not late.swapped
 
 
-async def test_a_lost_answer_is_unknown_and_the_write_took_effect():
+@pytest.mark.parametrize(
+    "lost", [SWITCHES(lose_answers=1), SWITCHES(lose_share=1.0)]
+)
+async def test_a_lost_answer_is_unknown_and_the_write_took_effect(lost):
     async with standins.platform() as platform:
-        await processes.switch(platform.address, SWITCHES(lose_answers=1))
+        await processes.switch(platform.address, lost)
         with pytest.raises(base.StoreUnknownError):
             await platform.client.compare_and_swap("a", b"1", 0)
         assert (await platform.client.get("a")).data == b"1"
@@ -139,6 +142,15 @@
         assert (await platform.client.watch("a", 0, 5.0)).values
 
 
+async def test_a_store_slower_than_the_time_limit_is_unknown_to_writes():
+    async with standins.platform(timeout_ms=50) as platform:
+        await processes.switch(platform.address, SWITCHES(slowness_ms=150))
+        with pytest.raises(base.StoreUnknownError):
+            await platform.client.compare_and_swap("a", b"1", 0)
+        await processes.switch(platform.address, SWITCHES())
+        assert (await platform.client.watch("a", 0, 5.0)).values
+
+
 async def test_no_store_at_all_is_unavailable():
     (port,) = processes.free_ports(1)
     client = http.connect(f"127.0.0.1:{port}")
