--- a/src/auburnrock/engine/idempotency.py
+++ b/src/auburnrock/engine/idempotency.py
@@ -12,6 +12,7 @@
 """
 
 import enum
+import re
 
 import msgspec
 
@@ -25,7 +26,9 @@
 LARGEST_KEPT_ANSWER_BYTES = 64 * 1024
 RESULT_OVERHEAD_BYTES = 400
 HEADER_OVERHEAD_BYTES = 16
-_UUID_HEX_DIGITS = 32
+_UUID7 = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
 
 
 class State(str, enum.Enum):
@@ -216,7 +219,10 @@
             return self._known(result, fingerprint)
         born_ms = born_ms_of(name.idempotency_key)
         if born_ms is None:
-            return _bad_key("it is no UUIDv7; make one for each piece of work")
+            return _bad_key(
+                "it is no UUIDv7 in lower case with hyphens; make one for each"
+                " piece of work"
+            )
         if born_ms > wall_ms + self.clock_margin_ms:
             return _bad_key("its time lies ahead; check the caller's clock")
         floor_ms = state.forgotten_floor_ms if vouched else state.floor_ms()
@@ -358,16 +364,14 @@
 
 
 def born_ms_of(idempotency_key: str) -> int | None:
-    """Unix time in milliseconds of a UUIDv7; None if it is none."""
-    digits = idempotency_key.replace("-", "")
-    if len(digits) != _UUID_HEX_DIGITS or digits[12] != "7":
-        return None
-    if digits[16] not in "89abAB":
-        return None
-    try:
-        return int(digits, 16) >> 80
-    except ValueError:
+    """Unix time in milliseconds of a UUIDv7; None if it is none.
+
+    Only the one usual spelling is taken, so that two spellings cannot name
+    the same work.
+    """
+    if _UUID7.fullmatch(idempotency_key) is None:
         return None
+    return int(idempotency_key[:8] + idempotency_key[9:13], 16)
 
 
 def size_of(response: messages.Response | None) -> int:
