--- /dev/null
+++ b/src/auburnrock/engine/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which server owns which shards, and the moves that carry it out."""
--- /dev/null
+++ b/src/auburnrock/engine/placement/history.py
@@ -0,0 +1,55 @@
+"""Which shards moved lately, and how many more may move.
+
+Every node records each change of owner that its replica shows, whoever made
+it, so that the limits hold when the assigner changes.
+"""
+
+import collections
+
+BUDGET_WINDOW_MS = 60_000
+REST_MS = 180_000
+"""A shard that moved is left where it is for this long."""
+
+
+class MoveHistory:
+    """The changes of owner within the last `REST_MS` of one service.
+
+    A node that has just started knows no history. It counts its first window
+    as spent, so that a restart gives no second budget.
+
+    Attributes:
+      started_ms: when recording began.
+      moved: time and shard of each change, oldest first.
+    """
+
+    __slots__ = ("moved", "started_ms")
+
+    def __init__(self, started_ms: int):
+        self.started_ms = started_ms
+        self.moved: collections.deque[tuple[int, int]] = collections.deque()
+
+    def record(self, now_ms: int, shard: int) -> None:
+        """Notes a planned move or reassignment of a shard."""
+        self.forget(now_ms)
+        self.moved.append((now_ms, shard))
+
+    def forget(self, now_ms: int) -> None:
+        """Drops what no longer limits anything."""
+        while self.moved and self.moved[0][0] <= now_ms - REST_MS:
+            self.moved.popleft()
+
+    def budget(self, now_ms: int, churn_per_minute: int) -> int:
+        """How many shards may still move in the current window."""
+        if now_ms - self.started_ms < BUDGET_WINDOW_MS:
+            return 0
+        spent = sum(
+            1 for when, _ in self.moved if when > now_ms - BUDGET_WINDOW_MS
+        )
+        return max(0, churn_per_minute - spent)
+
+    def resting(self, now_ms: int) -> frozenset[int]:
+        """The shards that moved within the last `REST_MS`."""
+        self.forget(now_ms)
+        return frozenset(
+            shard for when, shard in self.moved if when > now_ms - REST_MS
+        )
