Add weighted placement, a bounded ring and full rebalancing

Cause: hashing looks at neither load nor capacity, and moving whatever differs from an ideal assignment costs churn that one of the owners cannot afford. Ruled out: fixed thresholds of imbalance; they do not say what a move is worth to a service whose owner weighs churn most. A move is made when what it saves within a horizon outweighs what it costs, in the service's own weights.

--- a/src/auburnrock/engine/placement/policies.py
+++ b/src/auburnrock/engine/placement/policies.py
@@ -1,12 +1,18 @@
 """The placement policies by name."""
 
 from auburnrock.engine.placement import base
+from auburnrock.engine.placement import bounded_ring
+from auburnrock.engine.placement import full
 from auburnrock.engine.placement import rendezvous
+from auburnrock.engine.placement import weighted
 
-DEFAULT = "rendezvous"
+DEFAULT = "weighted"
 
 _POLICIES: dict[str, type[base.Policy]] = {
+    "weighted": weighted.Weighted,
     "rendezvous": rendezvous.Rendezvous,
+    "bounded_ring": bounded_ring.BoundedRing,
+    "full": full.Full,
 }
 NAMES = tuple(_POLICIES)
 
