--- a/src/auburnrock/engine/placement/history.py
+++ b/src/auburnrock/engine/placement/history.py
@@ -20,36 +20,46 @@
     Attributes:
       started_ms: when recording began.
       moved: time and shard of each change, oldest first.
+      planned_ms: times of the planned moves, oldest first.
     """
 
-    __slots__ = ("moved", "started_ms")
+    __slots__ = ("moved", "planned_ms", "started_ms")
 
     def __init__(self, started_ms: int):
         self.started_ms = started_ms
         self.moved: collections.deque[tuple[int, int]] = collections.deque()
+        self.planned_ms: collections.deque[int] = collections.deque()
 
-    def record(self, now_ms: int, shard: int) -> None:
-        """Notes a planned move or reassignment of a shard."""
+    def record(self, now_ms: int, shard: int, planned: bool = True) -> None:
+        """Notes a change of owner.
+
+        Args:
+          now_ms: when it was seen.
+          shard: the shard.
+          planned: False if the former owner had ended or was draining: the
+            shard rests, but the budget is not used.
+        """
         self.forget(now_ms)
         self.moved.append((now_ms, shard))
+        if planned:
+            self.planned_ms.append(now_ms)
 
     def forget(self, now_ms: int) -> None:
         """Drops what no longer limits anything."""
         while self.moved and self.moved[0][0] <= now_ms - REST_MS:
             self.moved.popleft()
+        oldest_ms = now_ms - BUDGET_WINDOW_MS
+        while self.planned_ms and self.planned_ms[0] <= oldest_ms:
+            self.planned_ms.popleft()
 
     def budget(self, now_ms: int, churn_per_minute: int) -> int:
         """How many shards may still move in the current window."""
         if now_ms - self.started_ms < BUDGET_WINDOW_MS:
             return 0
-        spent = sum(
-            1 for when, _ in self.moved if when > now_ms - BUDGET_WINDOW_MS
-        )
-        return max(0, churn_per_minute - spent)
+        self.forget(now_ms)
+        return max(0, churn_per_minute - len(self.planned_ms))
 
     def resting(self, now_ms: int) -> frozenset[int]:
         """The shards that moved within the last `REST_MS`."""
         self.forget(now_ms)
-        return frozenset(
-            shard for when, shard in self.moved if when > now_ms - REST_MS
-        )
+        return frozenset(shard for _, shard in self.moved)
--- /dev/null
+++ b/src/auburnrock/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces through the decisions of the engine."""
