Keep a large fleet as even as a small one

Cause: the fixed cost of a move did not shrink with the number of shards, while what a move saves does. Ruled out: the churn term; it is a share of all keys already. Change: the fixed cost is for moving every shard once, shared out among them.

--- a/src/auburnrock/engine/placement/weighted.py
+++ b/src/auburnrock/engine/placement/weighted.py
@@ -11,12 +11,14 @@
                          + unavailable_time * fall of the share refused)
     cost  = churn * CHURN_COST_S * share of keys moved
             + unavailable_time * PLANNED_MOVE_S * share of load moved
-            + MOVE_COST_S
+            + MOVE_COST_S / number of shards
 
 Among the moves away from the busiest server the one with the most saved for
 its cost comes first, so a hot key, which is one key, moves alone before any
-other. Each move lowers the weighed sum by more than `MOVE_COST_S`, and that
-sum is not negative: under constant load the moves must end.
+other. All terms are shares of the whole service, so the size of the fleet
+does not change how even it becomes. Each move lowers the weighed sum by more
+than its last cost term, and that sum is not negative: under constant load the
+moves must end.
 """
 
 import numpy
@@ -31,8 +33,9 @@
 """Cost of moving every key once."""
 PLANNED_MOVE_S = 0.05
 """Unavailable time of a shard during a planned move."""
-MOVE_COST_S = 0.03
-"""Cost of any move, so that none is made for next to nothing."""
+MOVE_COST_S = 2.0
+"""Cost of moving every shard once, whatever is in it, so that no move is made
+for next to nothing."""
 MIN_GAP = 0.1
 """Least relative utilisation by which the destination must stay below what
 the source had; load figures are not truer than that."""
@@ -189,7 +192,7 @@
             + self.weights.unavailable_time
             * PLANNED_MOVE_S
             * (rate / self.total_load)
-            + MOVE_COST_S
+            + MOVE_COST_S / len(self.tally.rate)
         )
 
 
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -1,3 +1,4 @@
+import collections
 import random
 
 import hypothesis
@@ -123,6 +124,22 @@
     assert counts[0] >= counts[1] > counts[2] == 0
 
 
+@pytest.mark.parametrize("servers", [4, 400])
+def test_the_size_of_the_fleet_does_not_change_how_even_it_becomes(servers):
+    # Regression: a cost for each move that did not shrink with the number of
+    # shards outweighed every gain in a large fleet.
+    half = servers // 2
+    owners = [1 + number % half for number in range(half * 24)]
+    owners += [half + 1 + number % half for number in range(half * 8)]
+    situation = placements.situation(
+        servers, owners, [2.0] * len(owners), budget=len(owners)
+    )
+    while moves := policies.policy().rebalance(situation):
+        situation = placements.carried_out(situation, moves)
+    held = collections.Counter(situation.owners)
+    assert max(held.values()) <= 19
+
+
 def test_an_overloaded_server_is_relieved_although_churn_weighs_much():
     weights = records.PlacementWeights(churn=10.0, unavailable_time=3.0)
     situation = placements.situation(
