Count rates too small to square as no load

Cause: with rates near the smallest float the square of the mean utilisation is 0 and 0 / 0 compared as neither more nor less, so nothing was moved; found as a warning in the property test of constant load. Ruled out: ignoring the warning; an all but idle service is to be spread by its keys like an idle one. Change: up to a millionth of a request a second counts as no load. Warnings of these tests are errors now. Conclusion: mended.

--- a/bench/make_traces.py
+++ b/bench/make_traces.py
@@ -14,7 +14,7 @@
 from auburnrock import records
 from auburnrock.replay import trace as traces
 
-FOLDER = pathlib.Path("traces")
+FOLDER = pathlib.Path(__file__).parents[1] / "traces"
 TICK_S = 10
 LOAD_EVERY_S = 30
 DURATION_S = 1_200
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -15,7 +15,7 @@
 from auburnrock.replay import placement
 from auburnrock.replay import trace as traces
 
-FOLDER = pathlib.Path("traces")
+FOLDER = pathlib.Path(__file__).parents[1] / "traces"
 
 
 class Row(msgspec.Struct, kw_only=True):
--- a/src/auburnrock/engine/placement/full.py
+++ b/src/auburnrock/engine/placement/full.py
@@ -37,11 +37,11 @@
     def rebalance(self, situation: base.Situation) -> list[base.Move]:
         """Assigns all shards anew if any server is too far from the mean."""
         tally = tallies.Tally(situation)
-        if len(tally.servers) < 2:
+        if len(tally.servers) < 2 or tally.is_idle():
             return []
         mean = tally.mean_utilisation()
         highest = float((tally.load / tally.capacity).max())
-        if mean <= 0 or highest <= mean * (1 + TRIGGER):
+        if highest <= mean * (1 + TRIGGER):
             return []
         shards = base.movable(situation)
         for shard in shards:
--- a/src/auburnrock/engine/placement/tally.py
+++ b/src/auburnrock/engine/placement/tally.py
@@ -8,6 +8,8 @@
 
 from auburnrock.engine.placement import base
 
+IDLE_RATE = 1e-6
+"""Requests a second up to which servers count as without load."""
 IDLE_UTILISATION = 1e-3
 """Utilisation of a service without load, whose keys are spread instead."""
 
@@ -50,7 +52,7 @@
             [zones.index(server.zone) for server in self.servers], dtype=int
         )
         self.rate, self.keys = _shard_figures(situation)
-        if not self.rate.any():
+        if self.rate.sum() <= IDLE_RATE:
             total = IDLE_UTILISATION * self.capacity.sum()
             self.rate = self.keys * total
         self.load = numpy.zeros(len(self.servers))
@@ -60,6 +62,10 @@
             if index is not None:
                 self.load[index] += self.rate[shard]
 
+    def is_idle(self) -> bool:
+        """Whether the accepting servers carry too little to compare them."""
+        return float(self.load.sum()) <= IDLE_RATE
+
     def mean_utilisation(self) -> float:
         """Load of all accepting servers over their capacity."""
         return float(self.load.sum() / self.capacity.sum())
--- a/src/auburnrock/engine/placement/weighted.py
+++ b/src/auburnrock/engine/placement/weighted.py
@@ -83,7 +83,7 @@
         if situation.budget <= 0:
             return []
         tally = tallies.Tally(situation)
-        if len(tally.servers) < 2 or not tally.load.any():
+        if len(tally.servers) < 2 or tally.is_idle():
             return []
         held = _movable_by_server(situation, tally)
         chooser = _Chooser(tally, situation.weights)
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -12,6 +12,7 @@
 from auburnrock.engine.placement import policies
 from tests.common import placements
 
+pytestmark = pytest.mark.filterwarnings("error")
 every_policy = pytest.mark.parametrize("name", policies.NAMES)
 
 
@@ -140,6 +141,15 @@
     assert max(held.values()) <= 19
 
 
+def test_a_rate_too_small_to_square_counts_as_no_load():
+    # Regression: its square is 0, and 0 / 0 compared as neither more nor less.
+    owners = [1] * 16
+    tiny = placements.situation(2, owners, [1e-200] * 16, budget=16)
+    none = placements.situation(2, owners, [0.0] * 16, budget=16)
+    policy = policies.policy()
+    assert policy.rebalance(tiny) == policy.rebalance(none) != []
+
+
 def test_an_overloaded_server_is_relieved_although_churn_weighs_much():
     weights = records.PlacementWeights(churn=10.0, unavailable_time=3.0)
     situation = placements.situation(
