Name each member's control address in a node's status

Cause: while the store is down the tool cannot read the nodes' records. Ruled out: asking the operator for every address. Change: Member.control_address; the tool goes on from one known node. Conclusion: status and time line need one node, not the store.

--- a/src/auburnrock/control/views.py
+++ b/src/auburnrock/control/views.py
@@ -73,6 +73,8 @@
       state: state of the record.
       service: service of the target beside it; empty without a target.
       shards_owned: shards whose owner it is.
+      control_address: host:port for operators' calls; it lets the tool find
+        the other nodes while the store is down.
     """
 
     name: str
@@ -81,6 +83,7 @@
     state: records.NodeState
     service: str = ""
     shards_owned: int = 0
+    control_address: str = ""
 
 
 class Leader(msgspec.Struct, frozen=True):
--- a/tests/common/control_sources.py
+++ b/tests/common/control_sources.py
@@ -38,6 +38,7 @@
                 records.NodeState.DRAINING,
                 "harbour-portal",
                 16,
+                "127.0.0.1:7802",
             )
         ],
         "leaders": [views.Leader("harbour-portal", "portal-2", 7)],
