Name file, field, got and accepted for each wrong setting

Cause: wrong types and unknown or missing fields were answered with the decoder's text, which names no accepted value; a field that stood twice, the same port three times, names with line breaks and limits without an upper end were accepted; a path with a zero byte ended the process with a traceback. Ruled out: a check for each field by hand (the struct's types say most of it). Change: strict_json decodes what people write and turns each error into field, got and accepted; settings have ranges and name all wrong values at once. Conclusion: no file ends the daemon otherwise than with one clear line.

--- a/src/auburnrock/shells/settings.py
+++ b/src/auburnrock/shells/settings.py
@@ -2,10 +2,23 @@
 
 import ipaddress
 import pathlib
+import re
 
 import msgspec
 
+from auburnrock import strict_json
+
 LARGEST_PORT = 65_535
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+RANGES: dict[str, tuple[int, int]] = {
+    "http_port": (1, LARGEST_PORT),
+    "peer_port": (1, LARGEST_PORT),
+    "control_port": (1, LARGEST_PORT),
+    "largest_body_bytes": (1, 15_000_000),
+    "drain_limit_ms": (1, 600_000),
+    "clock_margin_ms": (0, 60_000),
+}
+"""Smallest and largest value of each number; a body must fit in a frame."""
 
 
 class SettingsError(Exception):
@@ -51,62 +64,68 @@
     """Reads and checks a settings file; raises SettingsError."""
     try:
         data = pathlib.Path(path).read_bytes()
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise SettingsError(
-            f"{path}: cannot be read ({error.strerror}); name a readable file"
+            f"{path}: cannot be read ({error}); name a readable file"
         ) from error
     try:
-        settings = msgspec.json.decode(data, type=DaemonSettings)
-    except msgspec.DecodeError as error:
+        settings = strict_json.decode(data, DaemonSettings)
+    except strict_json.FieldError as error:
         raise SettingsError(f"{path}: {error}") from error
-    for problem in problems(settings):
-        raise SettingsError(f"{path}: {problem}")
+    found = problems(settings)
+    if found:
+        raise SettingsError(f"{path}: " + "; ".join(map(str, found)))
     return settings
 
 
-def problems(settings: DaemonSettings) -> list[str]:
-    """What is wrong with the values, one text for each field."""
+def problems(settings: DaemonSettings) -> list[strict_json.FieldError]:
+    """What is wrong with the values, one error for each field."""
     found = []
     for field in ("name", "region", "zone"):
         value = getattr(settings, field)
-        if not value or "/" in value:
+        if not NAME.fullmatch(value):
+            accepted = "1 to 64 letters, digits, dots, - and _"
+            found.append(strict_json.FieldError(field, repr(value), accepted))
+    if not _is_ip_number(settings.address):
+        got = repr(settings.address)
+        found.append(strict_json.FieldError("address", got, "an IP number"))
+    for field, (least, most) in RANGES.items():
+        value = getattr(settings, field)
+        if not least <= value <= most:
+            accepted = f"an integer from {least} to {most}"
+            found.append(strict_json.FieldError(field, str(value), accepted))
+    found += _port_clashes(settings)
+    for field in ("platform", "statsd"):
+        value = getattr(settings, field)
+        is_absent = field == "statsd" and not value
+        if not is_absent and not is_endpoint(value):
             found.append(
-                f"field {field}: got {value!r}, expected a name without '/'"
+                strict_json.FieldError(field, repr(value), "HOST:PORT")
             )
-    found += _address_problems(settings.address)
-    for field in ("http_port", "peer_port", "control_port"):
-        found += _port_problems(field, getattr(settings, field))
-    found += _endpoint_problems("platform", settings.platform)
-    if settings.statsd:
-        found += _endpoint_problems("statsd", settings.statsd)
-    for field in ("largest_body_bytes", "drain_limit_ms"):
-        value = getattr(settings, field)
-        if value <= 0:
-            found.append(f"field {field}: got {value}, expected more than 0")
-    if settings.clock_margin_ms < 0:
-        found.append(
-            f"field clock_margin_ms: got {settings.clock_margin_ms},"
-            " expected 0 or more"
-        )
     return found
 
 
-def _address_problems(address: str) -> list[str]:
+def is_endpoint(text: str) -> bool:
+    """Whether a text is HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    return bool(host) and is_number and 0 < int(port) <= LARGEST_PORT
+
+
+def _is_ip_number(address: str) -> bool:
     try:
         ipaddress.ip_address(address)
     except ValueError:
-        return [f"field address: got {address!r}, expected an IP number"]
-    return []
-
-
-def _port_problems(field: str, port: int) -> list[str]:
-    if 0 < port <= LARGEST_PORT:
-        return []
-    return [f"field {field}: got {port}, expected 1 to {LARGEST_PORT}"]
+        return False
+    return True
 
 
-def _endpoint_problems(field: str, endpoint: str) -> list[str]:
-    host, _, port = endpoint.rpartition(":")
-    if host and port.isdecimal() and 0 < int(port) <= LARGEST_PORT:
+def _port_clashes(
+    settings: DaemonSettings,
+) -> list[strict_json.FieldError]:
+    ports = (settings.http_port, settings.peer_port, settings.control_port)
+    if len(set(ports)) == len(ports):
         return []
-    return [f"field {field}: got {endpoint!r}, expected HOST:PORT"]
+    got = ", ".join(map(str, ports))
+    field = "http_port, peer_port, control_port"
+    return [strict_json.FieldError(field, got, "three different ports")]
