Keep each event on one line whatever a caller sends

Cause: a value with a carriage return or another character that ends a line was written as it is, so a caller's key could forge a line of the log, and a value with half a character could not be written at all. Ruled out: dropping such characters (the line must say what was got). Change: values that need quotes are written as JSON strings, with escapes where a character is not printable. Conclusion: any reader that knows JSON strings can read a line back.

--- a/src/auburnrock/shells/logs.py
+++ b/src/auburnrock/shells/logs.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import json
 import logging
 import sys
 
@@ -15,7 +16,7 @@
 
 EVENTS_KEPT = 4_096
 
-_NEEDS_QUOTES = frozenset(' "=\n\t')
+_NEEDS_QUOTES = frozenset(' "=')
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -92,7 +93,9 @@
 
 
 def _quoted(text: str) -> str:
-    if text and not _NEEDS_QUOTES.intersection(text):
+    is_printable = text.isprintable()
+    if text and is_printable and not _NEEDS_QUOTES.intersection(text):
         return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n") + '"'
+    # A caller's key may hold any character; one that ends a line in some
+    # reader, or that no encoding can write, must not get into the line.
+    return json.dumps(text, ensure_ascii=not is_printable)
