--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -8,8 +8,8 @@
 from auburnrock.targets import base
 from auburnrock.targets import http
 from auburnrock_standins import grants
+from auburnrock_standins import processes
 from auburnrock_standins import target_switches
-from tests.common import processes
 from tests.common import standins
 
 
