--- a/src/auburnrock/engine/lease.py
+++ b/src/auburnrock/engine/lease.py
@@ -22,7 +22,7 @@
 from auburnrock.engine import witness_choice
 from auburnrock.platform import base as platform_base
 
-EXCLUDED_MS = 10_000
+AVOIDED_MS = 10_000
 """How long a silent witness is not chosen again."""
 
 _CHART = chart.load("lease.json")
@@ -50,7 +50,7 @@
     """
 
     __slots__ = (
-        "excluded_until_ms",
+        "avoided_until_ms",
         "gaps",
         "leaving",
         "next_change_ms",
@@ -97,7 +97,7 @@
         self.gaps: list[witness_choice.Gap] = []
         self.nodes = nodes
         self.renewals = renewals_module.Renewals(timing)
-        self.excluded_until_ms: dict[int, int] = {}
+        self.avoided_until_ms: dict[int, int] = {}
         self.next_change_ms = now_ms
         self.retry_at_ms = now_ms
         self.ticked_ms = now_ms
@@ -176,8 +176,8 @@
         if _CHART.is_final(self.state):
             return []
         asked = self._renew(now_ms)
-        self._exclude_silent_witnesses(now_ms)
-        self._readmit_excluded(now_ms)
+        self._avoid_silent_witnesses(now_ms)
+        self._readmit_avoided(now_ms)
         if self.write is not None:
             return asked + self.write.tick(now_ms)
         return asked + self._write_if_needed(now_ms)
@@ -190,10 +190,10 @@
             return []
         verdict = self.renewals.on_answer(now_ms, answer)
         if verdict is renewals_module.Verdict.GONE:
-            self._exclude(now_ms, self.renewals.gone_witness(answer))
+            self._avoid(now_ms, self.renewals.gone_witness(answer))
         if verdict is renewals_module.Verdict.SEALED:
             # The record says whether it is true for all witnesses.
-            self._exclude(now_ms, answer.witness)
+            self._avoid(now_ms, answer.witness)
             key = records.node_key(self.record.name, self.record.incarnation)
             return [actions.Read(self._read_token(), key)]
         return []
@@ -257,34 +257,30 @@
             for witness, sequence in sequences.items()
         ]
 
-    def _exclude_silent_witnesses(self, now_ms: int) -> None:
+    def _avoid_silent_witnesses(self, now_ms: int) -> None:
         for witness in self.renewals.silent(now_ms):
-            if witness not in self.excluded_until_ms:
-                self._exclude(now_ms, witness)
+            if witness not in self.avoided_until_ms:
+                self._avoid(now_ms, witness)
 
-    def _exclude(self, now_ms: int, witness: int) -> None:
-        self.excluded_until_ms[witness] = now_ms + EXCLUDED_MS
+    def _avoid(self, now_ms: int, witness: int) -> None:
+        self.avoided_until_ms[witness] = now_ms + AVOIDED_MS
         self._choose_witnesses()
 
-    def _readmit_excluded(self, now_ms: int) -> None:
+    def _readmit_avoided(self, now_ms: int) -> None:
         over = [
             witness
-            for witness, until_ms in self.excluded_until_ms.items()
+            for witness, until_ms in self.avoided_until_ms.items()
             if until_ms <= now_ms
         ]
         for witness in over:
-            del self.excluded_until_ms[witness]
+            del self.avoided_until_ms[witness]
         if over:
             self._choose_witnesses()
 
     def _choose_witnesses(self) -> None:
-        excluded = set(self.excluded_until_ms)
-        choice = witness_choice.choose(self.record, self.nodes, excluded)
-        unexcluded = witness_choice.choose(self.record, self.nodes)
-        if len(choice.witnesses) < len(unexcluded.witnesses):
-            # A silent witness is better than none: it may answer again, and
-            # without it two of three would become one of one.
-            choice = unexcluded
+        choice = witness_choice.choose(
+            self.record, self.nodes, set(self.avoided_until_ms)
+        )
         self.gaps = choice.gaps
         known = {witness.incarnation for witness in self.record.witnesses}
         chosen = {witness.incarnation for witness in choice.witnesses}
--- a/src/auburnrock/engine/witness_choice.py
+++ b/src/auburnrock/engine/witness_choice.py
@@ -44,7 +44,7 @@
 def choose(
     holder: records.NodeRecord,
     nodes: list[records.NodeRecord],
-    excluded: set[int] = frozenset(),
+    avoided: set[int] = frozenset(),
 ) -> Choice:
     """Chooses the witnesses of a node.
 
@@ -57,20 +57,26 @@
     Args:
       holder: the node's record.
       nodes: all known records.
-      excluded: incarnations that are not to be chosen, such as silent ones.
+      avoided: incarnations that are chosen only if there are no others, such
+        as silent ones. A silent witness is better than none: it may answer
+        again.
     """
-    ranked = _ranked(holder, nodes, excluded)
+    ranked = _ranked(holder, nodes)
     size = WITNESSES if len(ranked) >= WITNESSES else min(1, len(ranked))
     present = {witness.incarnation for witness in holder.witnesses}
-    kept = [node for node in ranked if node.incarnation in present]
+    wanted = [node for node in ranked if node.incarnation not in avoided]
+    kept = [node for node in wanted if node.incarnation in present]
     chosen: list[records.NodeRecord] = []
     # Each pass is less strict: kept ones of a new zone, others of a new zone,
     # then whatever is left, from foreign zones first: if a zone must hold a
     # majority, the holder's own is the worst, since it is lost with it.
     _add_from_new_zones(chosen, kept, size)
-    _add_from_new_zones(chosen, ranked, size)
-    rest = sorted(ranked, key=lambda node: node.zone == holder.zone)
-    _add(chosen, rest, size)
+    _add_from_new_zones(chosen, wanted, size)
+    _add(chosen, _foreign_first(holder, kept), size)
+    _add(chosen, _foreign_first(holder, wanted), size)
+    silent = [node for node in ranked if node.incarnation in present]
+    _add(chosen, silent, size)
+    _add(chosen, ranked, size)
     # The first of the list acts first, so it should not be lost together with
     # the holder.
     chosen.sort(key=lambda node: (node.zone == holder.zone, node.name))
@@ -80,10 +86,14 @@
     return Choice(witnesses, _gaps([node.zone for node in chosen]))
 
 
+def _foreign_first(
+    holder: records.NodeRecord, nodes: list[records.NodeRecord]
+) -> list[records.NodeRecord]:
+    return sorted(nodes, key=lambda node: node.zone == holder.zone)
+
+
 def _ranked(
-    holder: records.NodeRecord,
-    nodes: list[records.NodeRecord],
-    excluded: set[int],
+    holder: records.NodeRecord, nodes: list[records.NodeRecord]
 ) -> list[records.NodeRecord]:
     """The candidates: own region first, then by hash.
 
@@ -97,9 +107,7 @@
     candidates = [
         node
         for node in latest.values()
-        if node.state is records.NodeState.ACTIVE
-        and node.name != holder.name
-        and node.incarnation not in excluded
+        if node.state is records.NodeState.ACTIVE and node.name != holder.name
     ]
     return sorted(
         candidates,
--- a/tests/common/ownership.py
+++ b/tests/common/ownership.py
@@ -20,6 +20,7 @@
 STORE_MS = 2
 NETWORK_MS = 1
 CALL_TIMEOUT_MS = 400
+released_epochs = set
 PAGE = records.page_key("svc", 0)
 STORE = "store"
 
@@ -40,6 +41,7 @@
     def __init__(self):
         self.values = {}
         self.revision = 0
+        self.states = {}
 
     def swap(self, action):
         current = self.values.get(action.key)
@@ -49,18 +51,15 @@
         self.revision += 1
         value = platform_base.Value(action.key, action.data, self.revision)
         self.values[action.key] = value
+        if action.key != PAGE:
+            record = records.decode_node(action.data)
+            self.states[record.incarnation] = record.state
         return actions.StoreOutcome.DONE, value
 
     def nodes(self):
         prefix = records.NODES_PREFIX
         return [v for k, v in self.values.items() if k.startswith(prefix)]
 
-    def state(self, incarnation):
-        for value in self.nodes():
-            if member_module.incarnation_of(value.key) == incarnation:
-                return records.decode_node(value.data).state
-        return None
-
 
 class Process:
     """One start of a daemon, at one address."""
@@ -75,8 +74,10 @@
         self.buffered = collections.deque()
         self.faults = collections.deque()
         self.page = None
+        self.entry = None
+        self.seen_revision = 0
         self.page_write = None
-        self.released = set()
+        self.released = released_epochs()
         self.page_writes = 0
         record = records.NodeRecord(
             name=name,
@@ -92,7 +93,8 @@
         self.member = member_module.Member(
             record, world.timing, self.now_ms(), nodes
         )
-        self.page = world.store.values.get(PAGE)
+        if PAGE in world.store.values:
+            self.see_page(world.store.values[PAGE])
 
     def now_ms(self):
         return int(self.world.time * self.rate)
@@ -100,9 +102,8 @@
     def serves(self):
         if self.page is None:
             return False
-        entry = records.decode_page(self.page.data).entries[0]
-        owns = entry.owner == self.incarnation
-        kept = entry.epoch not in self.released
+        owns = self.entry.owner == self.incarnation
+        kept = self.entry.epoch not in self.released
         return owns and kept and self.member.holder.live(self.now_ms())
 
     def handle(self, event):
@@ -118,7 +119,9 @@
         now_ms = self.now_ms()
         self.refresh()
         self.perform(self.member.tick(now_ms))
-        if self.page_write is not None:
+        if self.member.holder.ended:
+            self.world.start_again(self)
+        elif self.page_write is not None:
             self.perform(self.page_write.tick(now_ms))
         else:
             self.take_if_free()
@@ -127,7 +130,11 @@
         """Sees what the store holds, if it can reach it."""
         if self.world.is_cut(self.address, STORE) or self.world.store_is_down:
             return
+        seen = self.seen_revision
+        self.seen_revision = self.world.store.revision
         for value in list(self.world.store.values.values()):
+            if value.revision <= seen:
+                continue
             if value.key == PAGE:
                 self.see_page(value)
             else:
@@ -136,21 +143,24 @@
     def see_page(self, value):
         if self.page is None or self.page.revision < value.revision:
             self.page = value
+            self.entry = records.decode_page(value.data).entries[0]
 
     def take_if_free(self):
         if self.page is None or not self.member.holder.live(self.now_ms()):
             return
-        entry = records.decode_page(self.page.data).entries[0]
+        entry = self.entry
         known = self.member.known.get(entry.owner)
-        if known is None or known.record.state is records.NodeState.ENDED:
+        if entry.owner == self.incarnation and entry.epoch in self.released:
+            # The move was given up; only another epoch can be served.
+            self.write_page(self.incarnation, entry.epoch + 1)
+        elif known is None or known.record.state is records.NodeState.ENDED:
             self.write_page(self.incarnation, entry.epoch + 1)
 
     def release_to(self, next_owner):
         """A planned move: stops serving, then names the next owner."""
         if self.serves() and self.page_write is None and not self.paused:
-            entry = records.decode_page(self.page.data).entries[0]
-            self.released.add(entry.epoch)
-            self.write_page(next_owner, entry.epoch + 1)
+            self.released.add(self.entry.epoch)
+            self.write_page(next_owner, self.entry.epoch + 1)
 
     def write_page(self, owner, epoch):
         self.page_writes += 1
@@ -199,7 +209,8 @@
       time: true time in milliseconds.
       at_address: the process that an address reaches.
       delay: gives the delay of a datagram, None to lose it.
-      ended_at: true time at which each incarnation's end was recorded.
+      served_ms: true times of the checks, and whether the shard was served.
+      is_checked: whether the oracle checks after each event.
     """
 
     def __init__(
@@ -213,6 +224,7 @@
         self.store_is_down = False
         self.cuts = set()
         self.delay = delay
+        self.tick_ms = TICK_MS
         self.processes = []
         self.at_address = {}
         self.addresses = {}
@@ -253,7 +265,7 @@
         if process.alive:
             if not process.paused:
                 process.tick()
-            self.after(TICK_MS, lambda: self.tick(process))
+            self.after(self.tick_ms, lambda: self.tick(process))
 
     def after(self, delay_ms, event):
         self.events_made += 1
@@ -266,24 +278,23 @@
         while self.events and self.events[0][0] <= until:
             self.time, _, event = heapq.heappop(self.events)
             event()
-            if self.is_checked:
-                self.check()
+            self.check()
         self.time = until
 
     def check(self):
+        if not self.is_checked:
+            return
         serving = [p for p in self.processes if p.alive and p.serves()]
         if len(serving) > 1:
             raise TwoOwnersError(f"{[p.incarnation for p in serving]} serve")
         self.served_ms.append((self.time, bool(serving)))
         for process in self.processes:
-            live = process.alive and process.member.holder.live(
-                process.now_ms()
-            )
-            if live and self.has_ended(process.incarnation):
+            ended = process.alive and self.has_ended(process.incarnation)
+            if ended and process.member.holder.live(process.now_ms()):
                 raise TwoOwnersError(f"{process.incarnation} lives on")
 
     def has_ended(self, incarnation):
-        return self.store.state(incarnation) is records.NodeState.ENDED
+        return self.store.states.get(incarnation) is records.NodeState.ENDED
 
     def is_cut(self, one, other):
         return (one, other) in self.cuts
@@ -292,6 +303,34 @@
         for other in others:
             self.cuts |= {(one, other), (other, one)}
 
+    def isolate(self, process, *but):
+        """Cuts a process from all others and the store, but for some."""
+        spared = {other.address for other in but} | {process.address}
+        everyone = {*self.at_address, STORE}
+        self.cut(process.address, everyone - spared)
+
+    def witnesses_of(self, process):
+        """The processes that witness, then those that do not."""
+        named = process.member.holder.record.witnesses
+        witnesses = [
+            p
+            for witness in named
+            for p in self.processes
+            if p.incarnation == witness.incarnation
+        ]
+        others = [
+            p for p in self.processes if p not in witnesses and p != process
+        ]
+        return witnesses, others
+
+    def run_until(self, condition, limit_ms=5_000):
+        """Lets time pass until a condition holds; fails if it never does."""
+        for _ in range(limit_ms):
+            if condition():
+                return
+            self.run(1)
+        raise AssertionError("the schedule did not reach its next step")
+
     def heal(self):
         self.cuts.clear()
 
@@ -348,6 +387,7 @@
             process.tick()
         while process.buffered and not process.paused:
             process.handle(process.buffered.popleft())
+        self.check()
 
     def kill(self, process):
         process.alive = False
@@ -359,6 +399,18 @@
             process.name, process.address, process.zone, process.rate
         )
 
+    def start_again(self, process):
+        """What a daemon does that finds itself ended, unless replaced."""
+        later = [
+            p
+            for p in self.processes
+            if p.name == process.name and p.incarnation > process.incarnation
+        ]
+        if later:
+            self.kill(process)
+        else:
+            self.restart(process)
+
     def replace(self, process):
         """A new start elsewhere, while the old one may only be frozen."""
         address = f"{process.name}'{self.incarnations}"
--- /dev/null
+++ b/tests/cover/test_ownership.py
@@ -0,0 +1,251 @@
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from auburnrock import messages
+from auburnrock import records
+from auburnrock.engine import timing
+from auburnrock.engine import witness
+from auburnrock.engine import witness_choice
+from tests.common import ownership
+
+SERVED_AGAIN_MS = 2_000
+"""The users' bound for the time until a key is served after a loss."""
+
+
+def state_of(world, process):
+    return world.store.states[process.incarnation]
+
+
+def test_a_lost_owner_is_replaced_within_the_bound():
+    world = ownership.World()
+    owner = world.settle()
+    world.kill(owner)
+    lost_at = world.time
+    world.run(4_000)
+    assert world.unavailable_ms(lost_at) <= SERVED_AGAIN_MS
+
+
+@pytest.mark.parametrize("rank", [0, 1, 2])
+def test_an_owner_lost_with_a_witness_is_replaced_within_the_bound(rank):
+    world = ownership.World()
+    owner = world.settle()
+    world.kill(owner)
+    world.kill(world.witnesses_of(owner)[0][rank])
+    lost_at = world.time
+    world.run(4_000)
+    assert world.unavailable_ms(lost_at) <= SERVED_AGAIN_MS
+
+
+def test_a_sealing_left_behind_is_finished_by_another_witness():
+    world = ownership.World()
+    owner = world.settle()
+    (first, *_), _ = world.witnesses_of(owner)
+    world.kill(owner)
+    world.run_until(lambda: state_of(world, owner) is records.NodeState.SEALING)
+    world.kill(first)
+    lost_at = world.time
+    world.run(4_000)
+    assert world.unavailable_ms(lost_at) is not None
+
+
+def test_restarted_witnesses_do_not_hold_up_a_sealing():
+    world = ownership.World()
+    owner = world.settle()
+    (first, second, _), _ = world.witnesses_of(owner)
+    world.cut(owner.address, [ownership.STORE])
+    for process in (owner, first, second):
+        world.kill(process)
+    world.restart(first)
+    world.restart(second)
+    world.run(4_000)
+    assert world.has_ended(owner.incarnation)
+
+
+def test_a_restarted_owner_is_replaced_without_the_silence_limit():
+    world = ownership.World()
+    owner = world.settle()
+    world.restart(owner)
+    lost_at = world.time
+    world.run(3_000)
+    assert world.has_ended(owner.incarnation)
+    assert world.unavailable_ms(lost_at) < 1_200
+
+
+def test_one_cut_link_ends_no_node():
+    world = ownership.World()
+    owner = world.settle()
+    (first, *_), _ = world.witnesses_of(owner)
+    world.cut(owner.address, [first.address])
+    world.run(10_000)
+    assert owner.serves()
+    assert all(served for _, served in world.served_ms)
+    assert state_of(world, owner) is records.NodeState.ACTIVE
+    assert first not in world.witnesses_of(owner)[0]
+
+
+def test_a_store_outage_ends_no_lease():
+    world = ownership.World()
+    owner = world.settle()
+    world.store_is_down = True
+    world.run(30_000)
+    assert all(served for _, served in world.served_ms)
+    world.store_is_down = False
+    world.run(1_000)
+    assert state_of(world, owner) is records.NodeState.ACTIVE
+
+
+def test_an_owner_that_leaves_is_replaced_without_a_wait():
+    world = ownership.World()
+    owner = world.settle()
+    owner.member.holder.leave()
+    assert not owner.serves()
+    left_at = world.time
+    world.run(1_000)
+    assert world.unavailable_ms(left_at) < 200
+
+
+def test_a_pause_of_all_processes_ends_no_node():
+    world = ownership.World()
+    owner = world.settle()
+    for process in world.processes:
+        world.pause(process)
+    world.run(5_000)
+    for process in world.processes:
+        world.resume(process)
+    world.run(3_000)
+    assert owner.serves()
+
+
+def test_a_target_that_checks_no_grants_needs_a_confirmed_end():
+    world = ownership.World()
+    owner = world.settle()
+    owner.member.holder.set_target("svc", "127.0.0.1:1", "t1", False)
+    world.run(500)
+    world.kill(owner)
+    world.run(10_000)
+    assert state_of(world, owner) is records.NodeState.SEALING
+    for process in world.processes[1:]:
+        asked = process.member.on_target_ended(
+            process.now_ms(), owner.incarnation
+        )
+        process.perform(asked)
+    world.run(100)
+    assert world.has_ended(owner.incarnation)
+
+
+def test_a_node_without_witnesses_ends_by_the_operators_word_only():
+    world = ownership.World(names=1)
+    owner = world.settle()
+    gaps = owner.member.holder.gaps
+    assert gaps == [witness_choice.Gap.TAKEOVER]
+    successor = world.restart(owner)
+    world.run(10_000)
+    assert not world.has_ended(owner.incarnation)
+    asked = successor.member.on_node_ended(
+        successor.now_ms(), owner.incarnation
+    )
+    successor.perform(asked)
+    world.run(1_000)
+    assert successor.serves()
+
+
+def test_a_host_replaced_while_it_was_frozen_is_ended():
+    world = ownership.World()
+    owner = world.settle()
+    world.pause(owner)
+    world.replace(owner)
+    world.run(4_000)
+    assert world.has_ended(owner.incarnation)
+    world.resume(owner)
+    world.run(1_000)
+    assert owner.member.holder.ended
+
+
+def test_a_seal_meant_for_a_later_process_is_not_answered():
+    earlier = witness.Witness("a", 5, timing.Timing(), 0)
+    assert earlier.on_seal(0, messages.Seal(1, 6, 1)) is None
+    assert earlier.on_seal(0, messages.Seal(1, 4, 1)).gone
+
+
+def test_a_witness_that_is_full_of_seals_renews_nobody_new(monkeypatch):
+    monkeypatch.setattr(witness, "SEALED_MAX", 1)
+    full = witness.Witness("a", 9, timing.Timing(), 0)
+    assert full.on_renew(0, messages.Renew(1, 9, 1, 0)).renewed
+    full.on_seal(10, messages.Seal(2, 9, 1))
+    answers = [full.on_seal(t, messages.Seal(1, 9, 1)) for t in (20, 30)]
+    assert [a.remaining_ms for a in answers] == [1_000, 1_000]
+    for node in (1, 2, 3):
+        assert not full.on_renew(40, messages.Renew(node, 9, 2, 0)).renewed
+
+
+RATE = st.floats(0.99, 1.01)
+
+
+@hypothesis.given(RATE, RATE, RATE, st.floats(0, 1_000), st.floats(0, 999))
+def test_no_sealer_waits_less_than_the_holder_counts(
+    holder, sealer, other, since_true_ms, phase
+):
+    times = timing.Timing()
+    # All clocks are cut to whole milliseconds; the renewal is received the
+    # moment it is sent, which is the worst case.
+    end_ms = (int(phase * holder) + times.holder_term_ms()) / holder
+    sealed_ms = phase + since_true_ms
+    elapsed_ms = int(sealed_ms * other) - int(phase * other)
+    wait_ms = times.seal_wait_ms(times.remaining_ms(elapsed_ms))
+    assert (int(sealed_ms * sealer) + wait_ms) / sealer >= end_ms
+
+
+def test_bad_times_are_named():
+    assert timing.Timing().check() == []
+    wrong = timing.Timing(silence_limit_ms=500, renewal_interval_ms=300)
+    assert "silence_limit_ms is 500" in wrong.check()[0]
+    assert "below the term" in timing.Timing(silence_limit_ms=990).check()[0]
+
+
+def node(index, zone, state=records.NodeState.ACTIVE):
+    return records.NodeRecord(
+        name=f"h{index}",
+        incarnation=index + 1,
+        region="r",
+        zone=f"z{zone}",
+        address="127.0.0.1",
+        peer_port=1,
+        http_port=2,
+        state=state,
+    )
+
+
+@hypothesis.given(
+    st.lists(st.integers(0, 5), min_size=1, max_size=12), st.data()
+)
+def test_witnesses_are_in_zones_of_their_own_as_far_as_there_are(zones, data):
+    states = st.sampled_from(records.NodeState)
+    nodes = [node(i, z, data.draw(states)) for i, z in enumerate(zones)]
+    holder, others = nodes[0], nodes[1:]
+    active = [n for n in others if n.state is records.NodeState.ACTIVE]
+    choice = witness_choice.choose(holder, nodes)
+    chosen = {w.incarnation for w in choice.witnesses}
+    used = [n.zone for n in active if n.incarnation in chosen]
+    expected = 3 if len(active) >= 3 else min(1, len(active))
+    assert len(used) == len(choice.witnesses) == expected
+    distinct = min(expected, len({n.zone for n in active}))
+    assert len(set(used)) == distinct
+    is_gap = expected > 0 and max(collections.Counter(used).values()) * 2 > (
+        expected
+    )
+    assert (witness_choice.Gap.ZONE_LOSS in choice.gaps) == is_gap
+    holder.witnesses = choice.witnesses
+    assert witness_choice.choose(holder, nodes) == choice
+
+
+def test_the_work_of_witnesses_is_spread_over_the_fleet():
+    nodes = [node(i, i % 6) for i in range(300)]
+    work = collections.Counter(
+        witness.name
+        for holder in nodes
+        for witness in witness_choice.choose(holder, nodes).witnesses
+    )
+    assert max(work.values()) <= 12
