--- a/src/auburnrock/engine/concurrency_limit.py
+++ b/src/auburnrock/engine/concurrency_limit.py
@@ -3,10 +3,12 @@
 Growth as in TCP: slow start from a cold target's limit, then additive
 increase, one for each round at the limit; multiplicative decrease on
 congestion (Chiu and Jain 1989; Jacobson 1988). Congestion is a refusal by the
-target, a lost answer, or a recent latency well above the long-run one, as in
-TCP Vegas (Brakmo and Peterson 1995) and Netflix's Gradient2 limit. Both
-latencies are averages, so that a mix of quick and slow requests is no
-congestion.
+target, a request that was silent or timed out, or a recent latency well above
+the long-run one, as in TCP Vegas (Brakmo and Peterson 1995) and Netflix's
+Gradient2 limit. Both latencies are averages, so that a mix of quick and slow
+requests is no congestion. Nor is an answer lost with its connection: a share
+of losses at random would take the limit down to one and cost more than they
+do.
 """
 
 import enum
@@ -15,7 +17,7 @@
 LOWEST_LIMIT = 1.0
 DECREASE_FACTOR = 0.9
 LATENCY_TOLERANCE = 2.0
-SHORT_WEIGHT = 1 / 8
+SHORT_WEIGHT = 1 / 32
 LONG_WEIGHT = 1 / 256
 
 
@@ -24,16 +26,21 @@
 
     DONE: a whole answer, whatever its status.
     REFUSED: the target did not run it for lack of capacity.
-    LOST: sent, and no whole answer came.
+    LOST: sent, and its connection ended or carried garbage.
+    TIMED_OUT: sent, and no answer came in its time.
     ABANDONED: ended by its caller; says nothing about the target.
     """
 
     DONE = enum.auto()
     REFUSED = enum.auto()
     LOST = enum.auto()
+    TIMED_OUT = enum.auto()
     ABANDONED = enum.auto()
 
 
+CONGESTION = frozenset({Outcome.REFUSED, Outcome.TIMED_OUT})
+
+
 class ConcurrencyLimit:
     """The learnt limit of one target.
 
@@ -43,12 +50,14 @@
       slow_start: whether each success still adds one.
       short_ms: recent latency; 0 until there is a sample.
       long_ms: long-run latency.
+      samples: latencies seen.
       samples_to_hold: completions to wait before the next decrease, so that
         one congestion counts once.
     """
 
     __slots__ = (
         "long_ms",
+        "samples",
         "samples_to_hold",
         "short_ms",
         "slots",
@@ -62,6 +71,7 @@
         self.slow_start = True
         self.short_ms = 0.0
         self.long_ms = 0.0
+        self.samples = 0
         self.samples_to_hold = 0
 
     def allowed(self) -> int:
@@ -85,23 +95,22 @@
         """
         if self.samples_to_hold > 0:
             self.samples_to_hold -= 1
-        if outcome is Outcome.ABANDONED:
-            return
         if outcome is Outcome.DONE:
             self._observe_latency(latency_ms)
         slow = self.short_ms > LATENCY_TOLERANCE * self.long_ms
-        if outcome is not Outcome.DONE or slow:
+        if slow or outcome in CONGESTION:
             self._decrease()
-        elif was_full:
+        elif was_full and outcome is Outcome.DONE:
             self._increase()
 
     def _observe_latency(self, latency_ms: float) -> None:
-        if self.short_ms == 0.0:
-            self.short_ms = latency_ms
-            self.long_ms = latency_ms
-            return
-        self.short_ms += (latency_ms - self.short_ms) * SHORT_WEIGHT
-        self.long_ms += (latency_ms - self.long_ms) * LONG_WEIGHT
+        # Plain means at first: a moving average would hold to the very first
+        # latency, and an odd one would read as congestion for hundreds more.
+        self.samples += 1
+        short_weight = max(SHORT_WEIGHT, 1 / self.samples)
+        long_weight = max(LONG_WEIGHT, 1 / self.samples)
+        self.short_ms += (latency_ms - self.short_ms) * short_weight
+        self.long_ms += (latency_ms - self.long_ms) * long_weight
         # After a slow spell the long-run latency follows down at once;
         # otherwise the next congestion would go unseen.
         if self.long_ms > LATENCY_TOLERANCE * self.short_ms:
--- a/src/auburnrock/engine/limits.py
+++ b/src/auburnrock/engine/limits.py
@@ -89,7 +89,8 @@
       since_alone: ordinary requests started since the last of those.
       virtual_time: start tag of the latest request started from the queue.
       finish_tags: virtual time up to which each waiting caller is served.
-      abandoned: when each exchange was abandoned whose connection may linger.
+      abandoned: until when each timed-out request counts as a connection: the
+        target may still be busy with it.
     """
 
     __slots__ = (
@@ -156,7 +157,7 @@
         del self.running[ticket.number]
         if ticket.alone:
             self.alone_running = False
-        if outcome is concurrency_limit.Outcome.LOST:
+        if outcome is concurrency_limit.Outcome.TIMED_OUT:
             self.abandoned.append(now_ms + ABANDONED_HOLDS_CONNECTION_MS)
         self.limit.observe(outcome, latency_ms, was_full)
         return self._start_waiting(now_ms)
@@ -174,7 +175,7 @@
             return Next([], [])
         del self.running[ticket.number]
         self.silent.add(ticket.number)
-        self.limit.observe(concurrency_limit.Outcome.LOST, 0.0, False)
+        self.limit.observe(concurrency_limit.Outcome.TIMED_OUT, 0.0, False)
         return self._start_waiting(now_ms)
 
     def expire(self, now_ms: int) -> Next:
