Add auburnctl, the operators' tool

Cause: operators drive the system by a folder of files and need to see what it does: nodes, owners, revisions in force, one time line. Ruled out: `--base REVISION` to say what was read (the store keeps only the newest revision, so any change of any other file would be a conflict); applying by the accepted content read just now (that overwrites unseen what another operator did since the folder was fetched); removing accepted files that the folder never had (their absence shows no intent). A change goes through the engine's Proposal, which settles a lost answer. Three-way comparison of the folder, its base and the accepted files is pure, in engine/folder_changes.py. Conclusion: nothing accepted is replaced unseen, and the loser is told which file, and how to go on.

--- /dev/null
+++ b/src/auburnrock/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the operators' tool; docs/operators/auburnctl.md."""
--- /dev/null
+++ b/src/auburnrock/ctl/commands.py
@@ -0,0 +1,238 @@
+"""The table of commands, and how one is carried out."""
+
+import abc
+from collections.abc import Awaitable, Callable
+import enum
+
+import msgspec
+import result
+
+from auburnrock import errors
+from auburnrock.ctl import file_commands
+from auburnrock.ctl import folder
+from auburnrock.ctl import node_commands
+from auburnrock.ctl import options as options_module
+from auburnrock.ctl import report
+from auburnrock.ctl import store_access
+from auburnrock.ctl import timeline
+from auburnrock.platform import base as platform_base
+from auburnrock.platform import http
+
+Run = Callable[
+    [options_module.Options, platform_base.Platform | None],
+    Awaitable[result.Result[report.Report, errors.Failure]],
+]
+
+
+class Needs(enum.Enum):
+    """What a command has to be told."""
+
+    NOTHING = "nothing"
+    PLATFORM = "platform"
+    PLATFORM_OR_NODE = "platform or node"
+
+
+class Command(msgspec.Struct, frozen=True):
+    """One command.
+
+    Attributes:
+      usage: its name and arguments, those in brackets optional.
+      summary: what it does.
+      needs: what the command line must name.
+      run: carries it out.
+    """
+
+    usage: str
+    summary: str
+    needs: Needs
+    run: Run
+
+    def accepts(self, arguments: int) -> bool:
+        """Whether it can be called with so many arguments."""
+        words = self.usage.split()[1:]
+        optional = [word for word in words if word.startswith("[")]
+        if arguments > len(words) and not self.usage.endswith("...]"):
+            return False
+        return arguments >= len(words) - len(optional)
+
+
+COMMANDS: dict[str, Command] = {
+    command.usage.split()[0]: command
+    for command in (
+        Command(
+            "check FOLDER",
+            "check a folder; with --platform, also what applying it changes",
+            Needs.NOTHING,
+            file_commands.check,
+        ),
+        Command(
+            "show [NAME]",
+            "show the accepted configuration, or the text of one file",
+            Needs.PLATFORM,
+            file_commands.show,
+        ),
+        Command(
+            "fetch FOLDER",
+            "bring a folder up to date with the accepted files",
+            Needs.PLATFORM,
+            file_commands.fetch,
+        ),
+        Command(
+            "apply FOLDER",
+            "have the changes of a folder accepted, all or none",
+            Needs.PLATFORM,
+            file_commands.apply,
+        ),
+        Command(
+            "put FILE",
+            "have one added or changed file accepted",
+            Needs.PLATFORM,
+            file_commands.put,
+        ),
+        Command(
+            "remove NAME",
+            "have one file removed",
+            Needs.PLATFORM,
+            file_commands.remove,
+        ),
+        Command(
+            "status",
+            "show all nodes; with --node, one node in detail",
+            Needs.PLATFORM_OR_NODE,
+            node_commands.status,
+        ),
+        Command(
+            "owner SERVICE KEY",
+            "show who owns a key and why",
+            Needs.PLATFORM_OR_NODE,
+            node_commands.owner,
+        ),
+        Command(
+            "wait REVISION",
+            "wait until a revision is in force on every node",
+            Needs.PLATFORM_OR_NODE,
+            node_commands.wait,
+        ),
+        Command(
+            "timeline [LOG...]",
+            "merge the events of all nodes, or of log files, by time",
+            Needs.PLATFORM_OR_NODE,
+            timeline.timeline,
+        ),
+        Command(
+            "drain NODE",
+            "begin the planned stop of a node",
+            Needs.PLATFORM_OR_NODE,
+            node_commands.drain,
+        ),
+        Command(
+            "confirm-end INCARNATION",
+            "give your word that the target beside a silent node has ended",
+            Needs.PLATFORM_OR_NODE,
+            node_commands.confirm_end,
+        ),
+    )
+}
+
+
+class Connector(abc.ABC):
+    """Makes the client of the store."""
+
+    @abc.abstractmethod
+    def connect(self, address: str) -> platform_base.Platform:
+        """A client of the service at host:port."""
+
+
+class HttpConnector(Connector):
+    """Makes clients over HTTP."""
+
+    def connect(self, address: str) -> platform_base.Platform:
+        """A client of the service at host:port."""
+        return http.connect(address, store_access.STORE_TIMEOUT_MS)
+
+
+async def execute(
+    arguments: list[str], connector: Connector | None = None
+) -> report.Finished:
+    """Carries out one command line, without the program's name."""
+    try:
+        options = options_module.parse(arguments)
+        if options.help or not options.words:
+            return _help(options)
+        command = _checked_command(options)
+    except options_module.UsageError as error:
+        return report.Finished(
+            report.ExitCode.USAGE, error=f"auburnctl: usage: {error}\n"
+        )
+    answer = await _run(command, options, connector or HttpConnector())
+    if isinstance(answer, result.Err):
+        return report.finish_failure(answer.err_value, options.json)
+    return report.finish_report(answer.ok_value, options.json)
+
+
+def usage() -> str:
+    """The help text."""
+    rows = [
+        [f"  {command.usage}", command.summary] for command in COMMANDS.values()
+    ]
+    lines = [
+        "auburnctl: the operators' tool of auburnrock",
+        "",
+        "usage: auburnctl [FLAGS] COMMAND [ARGUMENTS]",
+        "",
+        *report.table(rows),
+        "",
+        "exit codes:",
+        *(
+            f"  {code.value}  {report.MEANINGS[code]}"
+            for code in report.ExitCode
+        ),
+        "",
+        options_module.flags_help(),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _help(options: options_module.Options) -> report.Finished:
+    if options.help:
+        return report.Finished(report.ExitCode.DONE, output=usage())
+    return report.Finished(report.ExitCode.USAGE, error=usage())
+
+
+async def _run(
+    command: Command, options: options_module.Options, connector: Connector
+) -> result.Result[report.Report, errors.Failure]:
+    platform = connector.connect(options.platform) if options.platform else None
+    try:
+        return await command.run(options, platform)
+    except folder.FolderError as error:
+        failure = errors.Failure(errors.ErrorKind.BAD_REQUEST, str(error))
+        return result.Err(failure)
+    finally:
+        if platform is not None:
+            await platform.close()
+
+
+def _checked_command(options: options_module.Options) -> Command:
+    """The command of a command line; raises UsageError."""
+    name = options.words[0]
+    command = COMMANDS.get(name)
+    if command is None:
+        known = ", ".join(COMMANDS)
+        raise options_module.UsageError(
+            f"got command {name!r}, expected one of {known}"
+        )
+    if not command.accepts(len(options.words) - 1):
+        got = " ".join(options.words)
+        raise options_module.UsageError(
+            f"got {got!r}, expected {command.usage}"
+        )
+    has_node = bool(options.node) and command.needs is Needs.PLATFORM_OR_NODE
+    reads_files = name == "timeline" and len(options.words) > 1
+    needs_nothing = command.needs is Needs.NOTHING or reads_files
+    if not (needs_nothing or options.platform or has_node):
+        flags = "--platform=HOST:PORT"
+        if command.needs is Needs.PLATFORM_OR_NODE:
+            flags += " or --node=HOST:PORT"
+        raise options_module.UsageError(f"{name} needs {flags}")
+    return command
--- /dev/null
+++ b/src/auburnrock/ctl/options.py
@@ -0,0 +1,137 @@
+"""The command line of the tool: flags by absl, commands by position."""
+
+from absl import flags
+import msgspec
+
+from auburnrock.engine import folder_changes
+from auburnrock.shells import settings
+
+
+class UsageError(Exception):
+    """A command line that is not accepted; says what is."""
+
+
+class Options(msgspec.Struct, kw_only=True):
+    """A parsed command line.
+
+    Attributes:
+      words: the command and its arguments.
+      platform: host:port of the platform's key-value service; empty if not
+        given.
+      node: host:port of a node's control port; empty if not given.
+      json: whether to answer with one JSON object.
+      timeout_s: longest wait in seconds; None for the command's own.
+      base: content hash that a single file was read with; None if not given.
+      keep: what `fetch` keeps of files that both sides changed.
+      since_s: how far back the time line goes, in seconds; 0 for all.
+      help: whether to show the usage.
+    """
+
+    words: list[str]
+    platform: str = ""
+    node: str = ""
+    json: bool = False
+    timeout_s: float | None = None
+    base: str | None = None
+    keep: folder_changes.Keep = folder_changes.Keep.NEITHER
+    since_s: float = 0.0
+    help: bool = False
+
+
+def parse(arguments: list[str]) -> Options:
+    """Parses what follows the program's name; raises UsageError."""
+    values = _definitions()
+    try:
+        words = values(["auburnctl", *arguments])[1:]
+    except flags.Error as error:
+        raise UsageError(str(error)) from error
+    options = Options(
+        words=words,
+        platform=values["platform"].value,
+        node=values["node"].value,
+        json=values["json"].value,
+        timeout_s=values["timeout"].value,
+        base=values["base"].value,
+        keep=folder_changes.Keep(values["keep"].value),
+        since_s=values["since"].value,
+        help=values["help"].value,
+    )
+    for name in ("platform", "node"):
+        endpoint = getattr(options, name)
+        if endpoint and not settings.is_endpoint(endpoint):
+            raise UsageError(
+                f"flag --{name}: got {endpoint!r}, expected HOST:PORT"
+            )
+    _check_text(arguments)
+    return options
+
+
+def flags_help() -> str:
+    """The flags and what they mean."""
+    # The first two lines are empty and the module's name.
+    lines = _definitions().module_help(__name__).splitlines()[2:]
+    return "\n".join(["flags:", *lines])
+
+
+def _check_text(arguments: list[str]) -> None:
+    for argument in arguments:
+        try:
+            argument.encode()
+        except UnicodeEncodeError as error:
+            raise UsageError(
+                f"argument {argument!r}: got bytes that are no UTF-8"
+            ) from error
+
+
+def _definitions() -> flags.FlagValues:
+    """The flags, in an object of their own so that calls don't share any."""
+    values = flags.FlagValues()
+    # Flags may stand after the command, too.
+    values.set_gnu_getopt(True)
+    flags.DEFINE_string(
+        "platform",
+        "",
+        "HOST:PORT of the platform's key-value service",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "node",
+        "",
+        "HOST:PORT of one node's control port; without it the nodes are found"
+        " in the store",
+        flag_values=values,
+    )
+    flags.DEFINE_boolean(
+        "json", False, "answer with one JSON object", flag_values=values
+    )
+    flags.DEFINE_float(
+        "timeout",
+        None,
+        "longest wait in seconds",
+        lower_bound=0.0,
+        upper_bound=86_400.0,
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "base",
+        None,
+        "put, remove: hash of the content that you read, as `show` prints it;"
+        " empty if there was no such file",
+        flag_values=values,
+    )
+    flags.DEFINE_enum(
+        "keep",
+        "",
+        [keep.value for keep in folder_changes.Keep],
+        "fetch: what stays of a file changed here and by another operator",
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "since",
+        0.0,
+        "timeline: only events of the last so many seconds; 0 for all",
+        lower_bound=0.0,
+        flag_values=values,
+    )
+    flags.DEFINE_boolean("help", False, "show this help", flag_values=values)
+    return values
