Make wait and status honest about nodes they cannot see

Cause: in a trial with a store and no node, `wait 1` said that the revision was in force on all 0 nodes; a nonsense record of a node was passed over in silence, so a node behind it was not waited for. At 1,200 nodes each answer to `status` listed all members, and `wait` asked every node at each poll. Ruled out: an error for an empty fleet (nodes may be about to start: it waits). Change: wait needs at least one node and counts nonsense records as missing, and asks only the nodes that are not there yet; a brief status leaves out the other members, so its size does not grow with the fleet. Conclusion: exit code 0 of wait means every recorded node that may serve.

--- a/src/auburnrock/control/client.py
+++ b/src/auburnrock/control/client.py
@@ -49,11 +49,17 @@
         self.channel = channel
         self.stub = control_grpc.ControlStub(channel)
 
-    async def status(self) -> result.Result[views.Status, errors.Failure]:
-        """The node and what it knows of the fleet."""
-        return await self._read(
-            self.stub.Status, control_pb2.StatusRequest(), views.Status
-        )
+    async def status(
+        self, brief: bool = False
+    ) -> result.Result[views.Status, errors.Failure]:
+        """The node and what it knows of the fleet.
+
+        Args:
+          brief: whether to leave out the other members and the leaders, as is
+            right where many nodes are asked.
+        """
+        request = control_pb2.StatusRequest(brief=brief)
+        return await self._read(self.stub.Status, request, views.Status)
 
     async def explain(
         self, service: str, key: str
--- a/src/auburnrock/control/server.py
+++ b/src/auburnrock/control/server.py
@@ -68,8 +68,9 @@
     async def Status(self, stream: grpclib.server.Stream) -> None:  # noqa: N802
         """Answers with the node's status."""
 
-        async def answer(_request: control_pb2.StatusRequest) -> Answer:
-            return result.Ok(self.source.status())
+        async def answer(request: control_pb2.StatusRequest) -> Answer:
+            view = self.source.status()
+            return result.Ok(_brief(view) if request.brief else view)
 
         await self._reply(stream, control_pb2.StatusReply, answer)
 
@@ -186,6 +187,12 @@
     return reply
 
 
+def _brief(view: views.Status) -> views.Status:
+    """A status whose size does not grow with the fleet."""
+    own = [m for m in view.members if m.incarnation == view.incarnation]
+    return msgspec.structs.replace(view, members=own, leaders=[])
+
+
 def _event_view(event: logs.Event) -> views.Event:
     fields = [views.Field(key, value) for key, value in event.fields]
     return views.Event(event.wall_ms, event.process, event.event, fields)
--- a/src/auburnrock/ctl/node_access.py
+++ b/src/auburnrock/ctl/node_access.py
@@ -46,9 +46,25 @@
         return self.state is not records.NodeState.ENDED
 
 
+class Found(msgspec.Struct, frozen=True):
+    """The recorded nodes.
+
+    Attributes:
+      nodes: by name and incarnation.
+      unreadable: keys of records that are nonsense; a node may be behind it.
+    """
+
+    nodes: list[Node]
+    unreadable: list[str] = []
+
+    def may_serve(self) -> list[Node]:
+        """The nodes that may still act on a configuration."""
+        return [node for node in self.nodes if node.may_serve()]
+
+
 async def find_nodes(
     options: options_module.Options, platform: platform_base.Platform | None
-) -> result.Result[list[Node], errors.Failure]:
+) -> result.Result[Found, errors.Failure]:
     """The recorded nodes, as --node tells them or else the store."""
     if options.node:
         return await _members_of(options.node)
@@ -56,7 +72,8 @@
     found = await store_access.read_nodes(platform)
     if isinstance(found, result.Err):
         return found
-    return result.Ok(_sorted(map(_of_record, found.ok_value.readable)))
+    nodes = _sorted(map(_of_record, found.ok_value.readable))
+    return result.Ok(Found(nodes, found.ok_value.unreadable))
 
 
 async def call(
@@ -105,7 +122,7 @@
 
 async def _members_of(
     address: str,
-) -> result.Result[list[Node], errors.Failure]:
+) -> result.Result[Found, errors.Failure]:
     answer = await call(address, lambda client: client.status())
     if isinstance(answer, result.Err):
         return answer
@@ -117,7 +134,7 @@
     members[status.incarnation] = Node(
         status.name, status.incarnation, status.zone, status.state, address
     )
-    return result.Ok(_sorted(members.values()))
+    return result.Ok(Found(_sorted(members.values())))
 
 
 def _of_member(member: views.Member) -> Node:
--- a/src/auburnrock/ctl/node_commands.py
+++ b/src/auburnrock/ctl/node_commands.py
@@ -34,9 +34,15 @@
 
 
 class FleetStatus(msgspec.Struct):
-    """All recorded nodes."""
+    """All recorded nodes.
+
+    Attributes:
+      nodes: their answers.
+      unreadable: keys of records that are nonsense.
+    """
 
     nodes: list[NodeAnswer]
+    unreadable: list[str] = []
 
 
 class Waited(msgspec.Struct):
@@ -45,13 +51,18 @@
     Attributes:
       revision: the revision waited for.
       in_force: names of the nodes that apply it or a later one.
-      missing: names of the nodes that don't, or gave no answer.
+      missing: names of the nodes that don't, or gave no answer, and keys of
+        node records that are nonsense.
     """
 
     revision: int
     in_force: list[str] = []
     missing: list[str] = []
 
+    def is_complete(self) -> bool:
+        """Whether it is in force on every node; never without any node."""
+        return bool(self.in_force) and not self.missing
+
 
 async def status(
     options: options_module.Options, platform: platform_base.Platform | None
@@ -65,13 +76,15 @@
     found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
-    fleet = FleetStatus(await _ask_statuses(found.ok_value))
-    silent = [
-        answer.node.name
-        for answer in fleet.nodes
-        if answer.status is None and answer.node.may_serve()
-    ]
-    code = report.ExitCode.UNREACHABLE if silent else report.ExitCode.DONE
+    fleet = FleetStatus(
+        await _ask_statuses(found.ok_value.nodes), found.ok_value.unreadable
+    )
+    is_complete = not fleet.unreadable and all(
+        answer.status or not answer.node.may_serve() for answer in fleet.nodes
+    )
+    code = report.ExitCode.DONE
+    if not is_complete:
+        code = report.ExitCode.UNREACHABLE
     return result.Ok(report.Report(fleet, _fleet_lines(fleet), code))
 
 
@@ -80,11 +93,12 @@
 ) -> Ended:
     """Shows who owns a key and why."""
     service, key = options.words[1:]
-    found = await _callable_nodes(options, platform)
+    found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
     answer = await node_access.call_first(
-        found.ok_value, lambda client: client.explain(service, key)
+        found.ok_value.may_serve(),
+        lambda client: client.explain(service, key),
     )
     return answer.map(
         lambda view: report.Report(view, _explanation_lines(view))
@@ -102,12 +116,13 @@
     if timeout_s is None:
         timeout_s = WAIT_TIMEOUT_S
     ends_at_ms = clock.now_ms() + round(timeout_s * 1_000)
+    applied: set[int] = set()
     while True:
-        found = await _callable_nodes(options, platform)
+        found = await node_access.find_nodes(options, platform)
         is_last = clock.now_ms() >= ends_at_ms
         if isinstance(found, result.Ok):
-            waited = await _compare(revision, found.ok_value)
-            if not waited.missing or is_last:
+            waited = await _compare(revision, found.ok_value, applied)
+            if waited.is_complete() or is_last:
                 return result.Ok(_waited_report(waited))
         elif is_last:
             return found
@@ -119,12 +134,13 @@
 ) -> Ended:
     """Begins the planned stop of the latest node of a name."""
     name = options.words[1]
-    found = await _callable_nodes(options, platform)
+    found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
-    named = [node for node in found.ok_value if node.name == name]
+    nodes = found.ok_value.may_serve()
+    named = [node for node in nodes if node.name == name]
     if not named:
-        known = ", ".join(node.name for node in found.ok_value) or "none"
+        known = ", ".join(node.name for node in nodes) or "none"
         return result.Err(
             errors.Failure(
                 errors.ErrorKind.BAD_REQUEST,
@@ -144,11 +160,13 @@
     incarnation = _number(options.words[1])
     if incarnation is None:
         return _bad_number("incarnation", options.words[1])
-    found = await _callable_nodes(options, platform)
+    found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
     others = [
-        node for node in found.ok_value if node.incarnation != incarnation
+        node
+        for node in found.ok_value.may_serve()
+        if node.incarnation != incarnation
     ]
     answer = await node_access.call_first(
         others, lambda client: client.confirm_end(incarnation)
@@ -156,17 +174,12 @@
     return answer.map(_done)
 
 
-async def _callable_nodes(
-    options: options_module.Options, platform: platform_base.Platform | None
-) -> result.Result[list[node_access.Node], errors.Failure]:
-    found = await node_access.find_nodes(options, platform)
-    return found.map(lambda nodes: [node for node in nodes if node.may_serve()])
-
-
 async def _ask_statuses(nodes: list[node_access.Node]) -> list[NodeAnswer]:
     # An ended incarnation answers no more, or its successor would.
     asked = [node for node in nodes if node.may_serve()]
-    answers = await node_access.call_all(asked, lambda client: client.status())
+    answers = await node_access.call_all(
+        asked, lambda client: client.status(brief=True)
+    )
     by_incarnation = dict(
         zip((node.incarnation for node in asked), answers, strict=True)
     )
@@ -191,24 +204,36 @@
     return NodeAnswer(node, status_view)
 
 
-async def _compare(revision: int, nodes: list[node_access.Node]) -> Waited:
-    waited = Waited(revision)
-    for answer in await _ask_statuses(nodes):
-        applies = (
-            answer.status is not None
-            and answer.status.configuration_revision >= revision
-        )
-        names = waited.in_force if applies else waited.missing
-        names.append(answer.node.name)
+async def _compare(
+    revision: int, found: node_access.Found, applied: set[int]
+) -> Waited:
+    """Asks the nodes that did not yet apply a revision.
+
+    Args:
+      revision: the revision.
+      found: the recorded nodes.
+      applied: incarnations that apply it, which they never undo; added to.
+    """
+    nodes = found.may_serve()
+    asked = [node for node in nodes if node.incarnation not in applied]
+    for answer in await _ask_statuses(asked):
+        status_view = answer.status
+        if status_view and status_view.configuration_revision >= revision:
+            applied.add(answer.node.incarnation)
+    waited = Waited(revision, missing=list(found.unreadable))
+    for node in nodes:
+        is_applied = node.incarnation in applied
+        names = waited.in_force if is_applied else waited.missing
+        names.append(node.name)
     return waited
 
 
 def _waited_report(waited: Waited) -> report.Report:
-    if not waited.missing:
+    if waited.is_complete():
         count = len(waited.in_force)
         line = f"revision {waited.revision} is in force on all {count} nodes"
         return report.Report(waited, [line])
-    missing = ", ".join(waited.missing)
+    missing = ", ".join(waited.missing) or "any node, as none is recorded"
     line = f"revision {waited.revision} is not in force on: {missing}"
     return report.Report(waited, [line], report.ExitCode.REFUSED)
 
@@ -281,6 +306,7 @@
         for answer in fleet.nodes
         if answer.status is None and answer.node.may_serve()
     ]
+    lines += [f"nonsense record: {key}" for key in fleet.unreadable]
     return lines
 
 
--- a/src/auburnrock/ctl/timeline.py
+++ b/src/auburnrock/ctl/timeline.py
@@ -90,7 +90,7 @@
     found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
-    nodes = [node for node in found.ok_value if node.may_serve()]
+    nodes = found.ok_value.may_serve()
     answers = await node_access.call_all(
         nodes, lambda client: client.events(since_ms)
     )
--- a/tests/cover/test_auburnctl_nodes.py
+++ b/tests/cover/test_auburnctl_nodes.py
@@ -187,12 +187,23 @@
         assert finished.code is report.ExitCode.USAGE
 
 
-async def test_nonsense_records_of_nodes_hide_no_other_node(fleet):
+async def test_nonsense_records_of_nodes_are_shown_and_hide_no_other(fleet):
     fleet.platform.write("nodes/odd/1", b"\xff")
     fleet.platform.write("nodes/odd/2", b'{"name": 5}')
     code, answer = await fleet.result("status")
-    assert code is DONE
+    assert code is UNREACHABLE
     assert len(answer["result"]["nodes"]) == 2
+    assert answer["result"]["unreadable"] == ["nodes/odd/1", "nodes/odd/2"]
+    code, answer = await fleet.result("wait", "1", "--timeout=0")
+    assert code is REFUSED
+    assert answer["result"]["missing"] == ["nodes/odd/1", "nodes/odd/2"]
+
+
+async def test_no_revision_is_in_force_without_any_node():
+    async with platforms.RunningPlatform() as platform:
+        flag = f"--platform={platform.address}"
+        finished = await commands.execute([flag, "wait", "0", "--timeout=0"])
+    assert finished.code is REFUSED
 
 
 async def test_the_time_line_merges_all_processes_by_time(fleet):
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -6,6 +6,7 @@
 import result
 
 from auburnrock import errors
+from auburnrock import records
 from auburnrock.control import client as control_client
 from auburnrock.control import control_pb2
 from auburnrock.control import conversion
@@ -53,6 +54,16 @@
         assert await client.status() == result.Ok(source.view)
 
 
+async def test_a_brief_status_does_not_grow_with_the_fleet():
+    own = views.Member("portal-1", 3, "piran", records.NodeState.ACTIVE)
+    members = [*control_sources.status().members, own]
+    view = control_sources.status(incarnation=3, members=members)
+    async with node(control_sources.FakeSource(view)) as client:
+        brief = (await client.status(brief=True)).ok_value
+    assert (brief.members, brief.leaders) == ([own], [])
+    assert brief.lease == view.lease
+
+
 async def test_an_explanation_arrives_with_its_absent_owner():
     async with node(control_sources.FakeSource()) as client:
         answer = await client.explain("harbour-portal", "urna-č")
