Show incarnations as logs and the store's keys write them

Cause: status showed an incarnation as a decimal number, the daemon's log and the store's keys as 16 hex digits, so an operator had to convert before a confirmed end. Ruled out: text in the JSON answers (they are the views as they are; the page on the tool says how to read 64-bit numbers). Change: lines for people show 16 hex digits, confirm-end takes them or a decimal number; lines for people are a module of their own. Conclusion: what is seen in one place can be pasted in the other.

--- a/src/auburnrock/ctl/node_access.py
+++ b/src/auburnrock/ctl/node_access.py
@@ -62,6 +62,32 @@
         return [node for node in self.nodes if node.may_serve()]
 
 
+class NodeAnswer(msgspec.Struct):
+    """One node and its answer.
+
+    Attributes:
+      node: the node as recorded.
+      status: its own view; None if it gave no answer.
+      problem: why it gave none.
+    """
+
+    node: Node
+    status: views.Status | None = None
+    problem: str = ""
+
+
+class FleetStatus(msgspec.Struct):
+    """All recorded nodes.
+
+    Attributes:
+      nodes: their answers.
+      unreadable: keys of records that are nonsense.
+    """
+
+    nodes: list[NodeAnswer]
+    unreadable: list[str] = []
+
+
 async def find_nodes(
     options: options_module.Options, platform: platform_base.Platform | None
 ) -> result.Result[Found, errors.Failure]:
@@ -120,6 +146,20 @@
     return answer
 
 
+async def ask_statuses(nodes: list[Node]) -> list[NodeAnswer]:
+    """Asks the nodes that may serve for a brief status."""
+    # An ended incarnation answers no more, or its successor would.
+    asked = [node for node in nodes if node.may_serve()]
+    answers = await call_all(asked, lambda client: client.status(brief=True))
+    by_incarnation = dict(
+        zip((node.incarnation for node in asked), answers, strict=True)
+    )
+    return [
+        _node_answer(node, by_incarnation.get(node.incarnation))
+        for node in nodes
+    ]
+
+
 async def _members_of(
     address: str,
 ) -> result.Result[Found, errors.Failure]:
@@ -159,3 +199,18 @@
 
 def _sorted(nodes) -> list[Node]:
     return sorted(nodes, key=lambda node: (node.name, node.incarnation))
+
+
+def _node_answer(
+    node: Node,
+    answer: result.Result[views.Status, errors.Failure] | None,
+) -> NodeAnswer:
+    if answer is None:
+        return NodeAnswer(node, problem="ended")
+    if isinstance(answer, result.Err):
+        return NodeAnswer(node, problem=answer.err_value.message)
+    status_view = answer.ok_value
+    if status_view.incarnation != node.incarnation:
+        problem = f"another incarnation answers: {status_view.incarnation:016x}"
+        return NodeAnswer(node, problem=problem)
+    return NodeAnswer(node, status_view)
--- a/src/auburnrock/ctl/node_commands.py
+++ b/src/auburnrock/ctl/node_commands.py
@@ -1,6 +1,7 @@
 """Commands that ask the nodes: status, owner, wait, drain, confirm-end."""
 
 import asyncio
+import re
 
 import msgspec
 import result
@@ -8,6 +9,7 @@
 from auburnrock import errors
 from auburnrock.control import views
 from auburnrock.ctl import node_access
+from auburnrock.ctl import node_lines
 from auburnrock.ctl import options as options_module
 from auburnrock.ctl import report
 from auburnrock.platform import base as platform_base
@@ -16,33 +18,9 @@
 WAIT_TIMEOUT_S = 20.0
 WAIT_POLL_S = 0.2
 
-Ended = result.Result[report.Report, errors.Failure]
-
-
-class NodeAnswer(msgspec.Struct):
-    """One node and its answer.
-
-    Attributes:
-      node: the node as recorded.
-      status: its own view; None if it gave no answer.
-      problem: why it gave none.
-    """
+_HEX = re.compile("[0-9a-f]*")
 
-    node: node_access.Node
-    status: views.Status | None = None
-    problem: str = ""
-
-
-class FleetStatus(msgspec.Struct):
-    """All recorded nodes.
-
-    Attributes:
-      nodes: their answers.
-      unreadable: keys of records that are nonsense.
-    """
-
-    nodes: list[NodeAnswer]
-    unreadable: list[str] = []
+Ended = result.Result[report.Report, errors.Failure]
 
 
 class Waited(msgspec.Struct):
@@ -72,12 +50,13 @@
         answer = await node_access.call(
             options.node, lambda client: client.status()
         )
-        return answer.map(_one_status)
+        return answer.map(_status_report)
     found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
-    fleet = FleetStatus(
-        await _ask_statuses(found.ok_value.nodes), found.ok_value.unreadable
+    fleet = node_access.FleetStatus(
+        await node_access.ask_statuses(found.ok_value.nodes),
+        found.ok_value.unreadable,
     )
     is_complete = not fleet.unreadable and all(
         answer.status or not answer.node.may_serve() for answer in fleet.nodes
@@ -85,7 +64,7 @@
     code = report.ExitCode.DONE
     if not is_complete:
         code = report.ExitCode.UNREACHABLE
-    return result.Ok(report.Report(fleet, _fleet_lines(fleet), code))
+    return result.Ok(report.Report(fleet, node_lines.of_fleet(fleet), code))
 
 
 async def owner(
@@ -101,7 +80,7 @@
         lambda client: client.explain(service, key),
     )
     return answer.map(
-        lambda view: report.Report(view, _explanation_lines(view))
+        lambda view: report.Report(view, node_lines.of_explanation(view))
     )
 
 
@@ -157,7 +136,7 @@
     options: options_module.Options, platform: platform_base.Platform | None
 ) -> Ended:
     """Gives the word that the target beside an incarnation has ended."""
-    incarnation = _number(options.words[1])
+    incarnation = _incarnation(options.words[1])
     if incarnation is None:
         return _bad_number("incarnation", options.words[1])
     found = await node_access.find_nodes(options, platform)
@@ -174,36 +153,6 @@
     return answer.map(_done)
 
 
-async def _ask_statuses(nodes: list[node_access.Node]) -> list[NodeAnswer]:
-    # An ended incarnation answers no more, or its successor would.
-    asked = [node for node in nodes if node.may_serve()]
-    answers = await node_access.call_all(
-        asked, lambda client: client.status(brief=True)
-    )
-    by_incarnation = dict(
-        zip((node.incarnation for node in asked), answers, strict=True)
-    )
-    return [
-        _node_answer(node, by_incarnation.get(node.incarnation))
-        for node in nodes
-    ]
-
-
-def _node_answer(
-    node: node_access.Node,
-    answer: result.Result[views.Status, errors.Failure] | None,
-) -> NodeAnswer:
-    if answer is None:
-        return NodeAnswer(node, problem="ended")
-    if isinstance(answer, result.Err):
-        return NodeAnswer(node, problem=answer.err_value.message)
-    status_view = answer.ok_value
-    if status_view.incarnation != node.incarnation:
-        problem = f"another incarnation answers: {status_view.incarnation}"
-        return NodeAnswer(node, problem=problem)
-    return NodeAnswer(node, status_view)
-
-
 async def _compare(
     revision: int, found: node_access.Found, applied: set[int]
 ) -> Waited:
@@ -216,7 +165,7 @@
     """
     nodes = found.may_serve()
     asked = [node for node in nodes if node.incarnation not in applied]
-    for answer in await _ask_statuses(asked):
+    for answer in await node_access.ask_statuses(asked):
         status_view = answer.status
         if status_view and status_view.configuration_revision >= revision:
             applied.add(answer.node.incarnation)
@@ -238,6 +187,10 @@
     return report.Report(waited, [line], report.ExitCode.REFUSED)
 
 
+def _status_report(view: views.Status) -> report.Report:
+    return report.Report(view, node_lines.of_status(view))
+
+
 def _done(done: views.Done) -> report.Report:
     return report.Report(done, [done.note or "accepted"])
 
@@ -248,122 +201,18 @@
     return number if number < 2**64 else None
 
 
+def _incarnation(text: str) -> int | None:
+    """Reads the 16 hex digits that people see, or a decimal number."""
+    if len(text) == node_lines.HEX_DIGITS and _HEX.fullmatch(text):
+        return int(text, base=16)
+    return _number(text)
+
+
 def _bad_number(what: str, text: str) -> Ended:
     return result.Err(
         errors.Failure(
             errors.ErrorKind.BAD_REQUEST,
-            f"{what}: got {text!r}, expected a decimal number of 64 bits as"
+            f"{what}: got {text!r}, expected a number of 64 bits as"
             " `status` shows it",
         )
     )
-
-
-def _one_status(view: views.Status) -> report.Report:
-    lines = [
-        f"node {view.name} incarnation {view.incarnation}",
-        f"region {view.region}, zone {view.zone}, record {view.state.value}",
-        f"lease {view.lease.state.value}, {view.lease.left_ms} ms left",
-        f"witnesses {_witness_names(view)}",
-        f"store {'reachable' if view.store_reachable else 'not reachable'},"
-        f" replica at revision {view.replica_revision}",
-        f"configuration revision {view.configuration_revision} in force",
-        _target_line(view.target),
-    ]
-    lines += [f"not tolerated: {loss}" for loss in view.not_tolerated]
-    lines += [
-        f"leader of {leader.service}: {leader.name} ({leader.incarnation})"
-        for leader in view.leaders
-    ]
-    rows = [["NODE", "INCARNATION", "ZONE", "RECORD", "SERVICE", "SHARDS"]]
-    rows += [
-        [
-            member.name,
-            str(member.incarnation),
-            member.zone,
-            member.state.value,
-            member.service or "-",
-            str(member.shards_owned),
-        ]
-        for member in view.members
-    ]
-    return report.Report(view, [*lines, "", *report.table(rows)])
-
-
-def _fleet_lines(fleet: FleetStatus) -> list[str]:
-    heading = "NODE INCARNATION ZONE RECORD LEASE CONFIG STORE TARGET SHARDS"
-    rows = [heading.split()]
-    rows += [_fleet_row(answer) for answer in fleet.nodes]
-    lines = report.table(rows)
-    problems = {
-        loss
-        for answer in fleet.nodes
-        if answer.status
-        for loss in answer.status.not_tolerated
-    }
-    lines += [f"not tolerated: {loss}" for loss in sorted(problems)]
-    lines += [
-        f"no answer from {answer.node.name}: {answer.problem}"
-        for answer in fleet.nodes
-        if answer.status is None and answer.node.may_serve()
-    ]
-    lines += [f"nonsense record: {key}" for key in fleet.unreadable]
-    return lines
-
-
-def _fleet_row(answer: NodeAnswer) -> list[str]:
-    node = answer.node
-    row = [node.name, str(node.incarnation), node.zone, node.state.value]
-    view = answer.status
-    if view is None:
-        return [*row, "-", "-", "-", "-", "-"]
-    owned = [
-        member.shards_owned
-        for member in view.members
-        if member.incarnation == node.incarnation
-    ]
-    target = view.target
-    return [
-        *row,
-        view.lease.state.value,
-        str(view.configuration_revision),
-        "up" if view.store_reachable else "down",
-        f"{target.service} {target.state}".rstrip() if target else "none",
-        str(sum(owned)),
-    ]
-
-
-def _witness_names(view: views.Status) -> str:
-    names = [f"{witness.name} ({witness.zone})" for witness in view.witnesses]
-    return ", ".join(names) or "none"
-
-
-def _target_line(target: views.Target | None) -> str:
-    if target is None:
-        return "target: none has announced itself"
-    checks = "checks grants" if target.checks_grants else "checks no grants"
-    return (
-        f"target of {target.service} at {target.address}, incarnation"
-        f" {target.incarnation}, {checks}, {target.state},"
-        f" {target.running} requests running"
-    )
-
-
-def _explanation_lines(view: views.Explanation) -> list[str]:
-    why = "it is a hot key" if view.why is views.ShardReason.HOT else "hashed"
-    lines = [
-        f"service {view.service}, key {view.key!r}: shard {view.shard} ({why})",
-        f"page {view.page_key}: owner {view.owner}, epoch {view.epoch}",
-    ]
-    if not view.owner:
-        lines.append("it has no owner yet")
-    elif not view.owner_name:
-        lines.append("the owner has no record: it has ended")
-    else:
-        state = view.owner_state.value if view.owner_state else "unknown"
-        lines.append(
-            f"owner node {view.owner_name}, record {state},"
-            f" lease {view.lease_state.value}"
-        )
-    if view.moving_to:
-        lines.append(f"moving to incarnation {view.moving_to}")
-    return lines
--- a/tests/cover/test_auburnctl_nodes.py
+++ b/tests/cover/test_auburnctl_nodes.py
@@ -174,13 +174,16 @@
     assert "there are: portal-1, portal-2" in finished.error
 
 
-async def test_a_confirmed_end_goes_to_another_node(fleet):
-    assert (await fleet.run("confirm-end", "11")).code is DONE
+@pytest.mark.parametrize("number", ["11", "000000000000000b"])
+async def test_a_confirmed_end_goes_to_another_node(fleet, number):
+    assert (await fleet.run("confirm-end", number)).code is DONE
     assert fleet.sources["portal-1"].ended == []
     assert fleet.sources["portal-2"].ended == [11]
 
 
-@pytest.mark.parametrize("number", ["x", "-1", "1e3", str(2**64), "٣"])
+@pytest.mark.parametrize(
+    "number", ["x", "-1", "1e3", str(2**64), "٣", "B" * 16]
+)
 async def test_a_number_that_is_none_is_a_usage_error(fleet, number):
     for command in ("wait", "confirm-end"):
         finished = await fleet.run(command, "--", number)
