--- a/src/auburnrock/engine/idempotency.py
+++ b/src/auburnrock/engine/idempotency.py
@@ -187,6 +187,25 @@
         self.disown(service, shard)
         self.shards[service, shard] = _Shard(epoch, wall_ms)
 
+    def own_exactly(
+        self, epochs: dict[tuple[str, int], int], wall_ms: int
+    ) -> None:
+        """Owns these shards from now on and no others.
+
+        To be called as soon as the assignment changes, not when the first
+        request comes: keys made before the call are refused. What counts is
+        the assignment, not the lease, which may lapse and come back within an
+        epoch.
+
+        Args:
+          epochs: epoch of each owned shard by service and number.
+          wall_ms: wall-clock time.
+        """
+        for service, shard in self.shards.keys() - epochs.keys():
+            self.disown(service, shard)
+        for (service, shard), epoch in epochs.items():
+            self.own(service, shard, epoch, wall_ms)
+
     def disown(self, service: str, shard: int) -> None:
         """Forgets a shard that is no longer owned."""
         state = self.shards.pop((service, shard), None)
--- a/tests/cover/test_idempotency.py
+++ b/tests/cover/test_idempotency.py
@@ -303,6 +303,19 @@
     assert isinstance(owners.ask(key, vouched=True), idempotency.Replay)
 
 
+def test_an_epoch_that_goes_on_keeps_its_results_and_another_does_not():
+    owners = Owners()
+    key = owners.key(1)
+    owners.run(key)
+    owners.window.own_exactly({(SERVICE, SHARD): 1}, owners.wall_ms)
+    assert isinstance(owners.ask(key), idempotency.Replay)
+    owners.window.own_exactly({(SERVICE, SHARD): 2}, owners.wall_ms)
+    assert kind_of(owners.ask(key)) is errors.ErrorKind.OUTCOME_UNKNOWN
+    owners.window.own_exactly({}, owners.wall_ms)
+    assert owners.window.count == 0
+    assert owners.window.size_bytes == 0
+
+
 def test_a_full_window_refuses_new_work_and_says_not_run():
     owners = Owners(most_results=1)
     owners.run(owners.key(1))
