--- a/src/auburnrock/engine/idempotency.py
+++ b/src/auburnrock/engine/idempotency.py
@@ -152,6 +152,7 @@
       count: results now.
       size_bytes: size of the kept answers now, about.
       shards: the owned shards by service and number.
+      unexpired: those of them that `expire` has yet to take in this turn.
     """
 
     __slots__ = (
@@ -162,6 +163,7 @@
         "most_results",
         "shards",
         "size_bytes",
+        "unexpired",
     )
 
     def __init__(
@@ -178,6 +180,7 @@
         self.count = 0
         self.size_bytes = 0
         self.shards: dict[tuple[str, int], _Shard] = {}
+        self.unexpired: list[tuple[str, int]] = []
 
     def own(self, service: str, shard: int, epoch: int, wall_ms: int) -> None:
         """Begins an epoch of a shard; no change if it has begun already."""
@@ -296,13 +299,23 @@
             result.state = State.UNKNOWN
 
     def expire(self, wall_ms: int) -> None:
-        """Forgets results whose keys were made long ago."""
-        floor_ms = wall_ms - self.kept_ms
-        for state in self.shards.values():
-            state.forgotten_floor_ms = max(state.forgotten_floor_ms, floor_ms)
-            for name, result in list(state.results.items()):
-                if self._may_forget(result, state.forgotten_floor_ms):
-                    self._uncount(state.results.pop(name))
+        """Forgets results of one shard whose keys were made long ago.
+
+        Each call takes the next shard in turn, so that no call is long; to be
+        called several times a second.
+        """
+        if not self.unexpired:
+            self.unexpired = list(self.shards)
+        if not self.unexpired:
+            return
+        state = self.shards.get(self.unexpired.pop())
+        if state is None:
+            return
+        floor_ms = max(state.forgotten_floor_ms, wall_ms - self.kept_ms)
+        state.forgotten_floor_ms = floor_ms
+        for name, result in list(state.results.items()):
+            if self._may_forget(result, floor_ms):
+                self._uncount(state.results.pop(name))
 
     def export(self, service: str, shard: int) -> ShardResults:
         """What the next owner of a released shard needs.
--- a/tests/cover/test_idempotency.py
+++ b/tests/cover/test_idempotency.py
@@ -326,6 +326,19 @@
     assert isinstance(owners.ask(owners.key(3)), idempotency.Run)
 
 
+def test_every_shard_is_expired_in_its_turn():
+    owners = Owners()
+    for shard in range(1, 4):
+        owners.window.own(SERVICE, shard, 1, WALL_MS)
+        owners.window.begin(
+            owners.wall_ms, shard, name_of(owners.key(shard)), "f"
+        )
+        owners.window.lost(shard, name_of(owners.key(shard)))
+    for _ in range(4):
+        owners.window.expire(owners.wall_ms + KEPT_MS + 1)
+    assert owners.window.count == 0
+
+
 def test_keys_of_the_same_value_in_other_scopes_do_not_collide():
     owners = Owners()
     key = owners.key(1)
