--- a/src/auburnrock/engine/idempotency.py
+++ b/src/auburnrock/engine/idempotency.py
@@ -152,6 +152,7 @@
       count: results now.
       size_bytes: size of the kept answers now, about.
       shards: the owned shards by service and number.
+      unexpired: those of them that `expire` has yet to take in this turn.
     """
 
     __slots__ = (
@@ -162,6 +163,7 @@
         "most_results",
         "shards",
         "size_bytes",
+        "unexpired",
     )
 
     def __init__(
@@ -178,6 +180,7 @@
         self.count = 0
         self.size_bytes = 0
         self.shards: dict[tuple[str, int], _Shard] = {}
+        self.unexpired: list[tuple[str, int]] = []
 
     def own(self, service: str, shard: int, epoch: int, wall_ms: int) -> None:
         """Begins an epoch of a shard; no change if it has begun already."""
@@ -187,6 +190,25 @@
         self.disown(service, shard)
         self.shards[service, shard] = _Shard(epoch, wall_ms)
 
+    def own_exactly(
+        self, epochs: dict[tuple[str, int], int], wall_ms: int
+    ) -> None:
+        """Owns these shards from now on and no others.
+
+        To be called as soon as the assignment changes, not when the first
+        request comes: keys made before the call are refused. What counts is
+        the assignment, not the lease, which may lapse and come back within an
+        epoch.
+
+        Args:
+          epochs: epoch of each owned shard by service and number.
+          wall_ms: wall-clock time.
+        """
+        for service, shard in self.shards.keys() - epochs.keys():
+            self.disown(service, shard)
+        for (service, shard), epoch in epochs.items():
+            self.own(service, shard, epoch, wall_ms)
+
     def disown(self, service: str, shard: int) -> None:
         """Forgets a shard that is no longer owned."""
         state = self.shards.pop((service, shard), None)
@@ -277,13 +299,23 @@
             result.state = State.UNKNOWN
 
     def expire(self, wall_ms: int) -> None:
-        """Forgets results whose keys were made long ago."""
-        floor_ms = wall_ms - self.kept_ms
-        for state in self.shards.values():
-            state.forgotten_floor_ms = max(state.forgotten_floor_ms, floor_ms)
-            for name, result in list(state.results.items()):
-                if self._may_forget(result, state.forgotten_floor_ms):
-                    self._uncount(state.results.pop(name))
+        """Forgets results of one shard whose keys were made long ago.
+
+        Each call takes the next shard in turn, so that no call is long; to be
+        called several times a second.
+        """
+        if not self.unexpired:
+            self.unexpired = list(self.shards)
+        if not self.unexpired:
+            return
+        state = self.shards.get(self.unexpired.pop())
+        if state is None:
+            return
+        floor_ms = max(state.forgotten_floor_ms, wall_ms - self.kept_ms)
+        state.forgotten_floor_ms = floor_ms
+        for name, result in list(state.results.items()):
+            if self._may_forget(result, floor_ms):
+                self._uncount(state.results.pop(name))
 
     def export(self, service: str, shard: int) -> ShardResults:
         """What the next owner of a released shard needs.
