--- a/src/auburnrock/control/server.py
+++ b/src/auburnrock/control/server.py
@@ -139,7 +139,9 @@
       handler: answers the calls.
     """
 
-    def __init__(self, address: str, port: int, handler: ControlHandler):
+    def __init__(
+        self, address: str, port: int, handler: control_grpc.ControlBase
+    ):
         super().__init__()
         self.address = address
         self.port = port
