--- a/src/auburnrock/shells/logs.py
+++ b/src/auburnrock/shells/logs.py
@@ -41,6 +41,7 @@
     Attributes:
       process: name of this process.
       recent: the last EVENTS_KEPT events.
+      counts: how often each event was written.
       logger: where lines go.
     """
 
@@ -50,6 +51,7 @@
             maxlen=EVENTS_KEPT
         )
         self.logger = logger
+        self.counts: collections.Counter[str] = collections.Counter()
 
     def write(self, event: str, **fields: object) -> None:
         """Writes one event with its details."""
@@ -58,6 +60,7 @@
 
     def write_pairs(self, event: str, pairs: list[tuple[str, str]]) -> None:
         """Writes one event whose details are pairs already."""
+        self.counts[event] += 1
         self.recent.append(Event(clock.wall_ms(), self.process, event, pairs))
         self.logger.info(event, extra={"pairs": pairs})
 
