Refuse a confirmed end of a node that answers

Cause: the operator's word that a node has ended lets others take its keys without its lease; given for a living node, by a wrong number, it would make two owners. Change: confirm-end asks the named incarnation first and refuses if it answers or has no record; the texts say that node and target must have ended.

--- a/src/auburnrock/control/client.py
+++ b/src/auburnrock/control/client.py
@@ -83,7 +83,7 @@
     async def confirm_end(
         self, incarnation: int
     ) -> result.Result[views.Done, errors.Failure]:
-        """Gives the operator's word that a target ended; may be repeated."""
+        """Gives the word that a node and its target ended; repeatable."""
         request = control_pb2.ConfirmEndRequest(incarnation=incarnation)
         return await self._change(self.stub.ConfirmEnd, request)
 
--- a/src/auburnrock/control/server.py
+++ b/src/auburnrock/control/server.py
@@ -45,11 +45,11 @@
     async def confirm_end(
         self, incarnation: int
     ) -> result.Result[views.Done, errors.Failure]:
-        """Takes the operator's word that a node's target has ended.
+        """Takes the operator's word that a node and its target have ended.
 
         Args:
-          incarnation: incarnation of the node whose target does not check
-            grants; the call is an error for one that checks them.
+          incarnation: incarnation of a node other than this one; its keys are
+            taken over without waiting for its lease or its witnesses.
         """
 
 
@@ -104,7 +104,7 @@
         await self._reply(stream, control_pb2.DoneReply, answer)
 
     async def ConfirmEnd(self, stream: grpclib.server.Stream) -> None:  # noqa: N802
-        """Takes the operator's word that a target has ended."""
+        """Takes the operator's word that a node and its target ended."""
 
         async def answer(request: control_pb2.ConfirmEndRequest) -> Answer:
             return await self.source.confirm_end(request.incarnation)
--- a/src/auburnrock/ctl/commands.py
+++ b/src/auburnrock/ctl/commands.py
@@ -127,7 +127,7 @@
         ),
         Command(
             "confirm-end INCARNATION",
-            "give your word that the target beside a silent node has ended",
+            "give your word that a silent node and its target have ended",
             Needs.PLATFORM_OR_NODE,
             node_commands.confirm_end,
         ),
--- a/src/auburnrock/ctl/node_commands.py
+++ b/src/auburnrock/ctl/node_commands.py
@@ -135,13 +135,22 @@
 async def confirm_end(
     options: options_module.Options, platform: platform_base.Platform | None
 ) -> Ended:
-    """Gives the word that the target beside an incarnation has ended."""
+    """Gives the word that a node and the target beside it have ended.
+
+    Other nodes then take its keys without waiting for its lease, so a word
+    given wrongly makes two owners: a node that answers is never named ended.
+    """
     incarnation = _incarnation(options.words[1])
     if incarnation is None:
         return _bad_number("incarnation", options.words[1])
     found = await node_access.find_nodes(options, platform)
     if isinstance(found, result.Err):
         return found
+    nodes = found.ok_value.nodes
+    named = [node for node in nodes if node.incarnation == incarnation]
+    refused = await _why_not_ended(incarnation, named)
+    if refused is not None:
+        return result.Err(refused)
     others = [
         node
         for node in found.ok_value.may_serve()
@@ -153,6 +162,27 @@
     return answer.map(_done)
 
 
+async def _why_not_ended(
+    incarnation: int, named: list[node_access.Node]
+) -> errors.Failure | None:
+    """Why an incarnation cannot be named ended; None if it can."""
+    if not named:
+        return errors.Failure(
+            errors.ErrorKind.BAD_REQUEST,
+            f"incarnation {node_lines.shown(incarnation)} has no record; take"
+            " it from `auburnctl status`",
+        )
+    (answer,) = await node_access.ask_statuses(named[:1])
+    if answer.status is None:
+        return None
+    return errors.Failure(
+        errors.ErrorKind.CONFLICT,
+        f"node {named[0].name} of incarnation {node_lines.shown(incarnation)}"
+        f" has not ended: it answers at {named[0].address}; stop it with"
+        f" `auburnctl drain {named[0].name}`",
+    )
+
+
 async def _compare(
     revision: int, found: node_access.Found, applied: set[int]
 ) -> Waited:
--- a/tests/cover/test_auburnctl_nodes.py
+++ b/tests/cover/test_auburnctl_nodes.py
@@ -174,11 +174,20 @@
     assert "there are: portal-1, portal-2" in finished.error
 
 
-@pytest.mark.parametrize("number", ["11", "000000000000000b"])
+@pytest.mark.parametrize("number", ["13", "000000000000000d"])
 async def test_a_confirmed_end_goes_to_another_node(fleet, number):
+    fleet.add_silent("a-first", 13)
     assert (await fleet.run("confirm-end", number)).code is DONE
-    assert fleet.sources["portal-1"].ended == []
-    assert fleet.sources["portal-2"].ended == [11]
+    assert fleet.sources["portal-1"].ended == [13]
+    assert fleet.sources["portal-2"].ended == []
+
+
+async def test_a_node_that_answers_is_never_named_ended(fleet):
+    finished = await fleet.run("confirm-end", "11")
+    assert finished.code is REFUSED
+    assert "auburnctl drain portal-1" in finished.error
+    assert (await fleet.run("confirm-end", "99")).code is report.ExitCode.USAGE
+    assert fleet.sources["portal-2"].ended == []
 
 
 @pytest.mark.parametrize(
