--- a/examples/demo.py
+++ b/examples/demo.py
@@ -21,12 +21,11 @@
 import msgspec
 import uuid_utils
 
-from auburnrock import records
-from auburnrock.engine import configuration
 from auburnrock.platform import http as http_platform
 from auburnrock.shells import wire
 from auburnrock_standins import fleet as fleet_lib
 from auburnrock_standins import journal as journal_lib
+from auburnrock_standins import preparation
 from auburnrock_standins import processes
 from auburnrock_standins import request_trace
 from auburnrock_standins import target_server
@@ -42,7 +41,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 SEED = 20261204
-READY_LIMIT_S = 20.0
 KILL_TARGET_AT_MS = 4_000
 KILL_HOST_AT_MS = 8_000
 ATTEMPTS = 5
@@ -107,6 +105,7 @@
         headers = _headers(traced)
         kind = "unreachable"
         for attempt in range(ATTEMPTS):
+            headers[wire.FIRST_TRY] = "yes" if attempt == 0 else "no"
             status, answer_headers = await self._try(traced, headers)
             kind = answer_headers.get(wire.ERROR, "unreachable")
             if status and wire.ERROR not in answer_headers:
@@ -163,68 +162,19 @@
         fleet = fleet_lib.Fleet(deployment, spec)
         await fleet.start()
         platform = http_platform.connect(fleet.platform_address())
-        await accept_files(platform, folder / "files")
-        before = await wait_until_owned(platform, spec)
+        await preparation.accept_files(platform, folder / "files")
+        before = await preparation.wait_until_owned(platform, spec)
         timeout = aiohttp.ClientTimeout(total=10)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             callers = Callers(fleet, session)
             await _play(callers, trace, fleet)
-        after = await owners(platform)
+        after = await preparation.owners(platform)
         report = _finish(callers, len(trace), before, after)
         report.executions_doubled = await doubled_executions(fleet)
         await platform.close()
     return report
 
 
-async def accept_files(
-    platform: http_platform.HttpPlatform, folder: pathlib.Path
-) -> None:
-    """Puts an operators' folder into force."""
-    changes = [
-        configuration.FileChange(
-            path.name, path.read_text(), configuration.NO_FILE
-        )
-        for path in sorted(folder.iterdir())
-    ]
-    change_set = configuration.ChangeSet(changes, "demonstration")
-    proposed = configuration.propose(None, change_set).unwrap()
-    await platform.compare_and_swap(
-        records.CONFIGURATION_KEY, records.encode_json(proposed), 0
-    )
-
-
-async def owners(platform: http_platform.HttpPlatform) -> dict:
-    """The owner of each shard, by service and shard."""
-    snapshot = await platform.list(records.PAGES_PREFIX)
-    found = {}
-    for value in snapshot.values:
-        page = records.decode_page(value.data)
-        first = page.page * records.SHARDS_PER_PAGE
-        for shard, entry in enumerate(page.entries, first):
-            found[page.service, shard] = entry.owner
-    return found
-
-
-async def wait_until_owned(
-    platform: http_platform.HttpPlatform, spec: fleet_lib.DeploymentSpec
-) -> dict:
-    """Waits until each shard has an owner; returns the owners."""
-    async with asyncio.timeout(READY_LIMIT_S):
-        while True:
-            found = await owners(platform)
-            nodes = await platform.list(records.NODES_PREFIX)
-            announced = [
-                value
-                for value in nodes.values
-                if records.decode_node(value.data).target_incarnation
-            ]
-            ready = found and records.NO_OWNER not in found.values()
-            if ready and len(announced) == len(spec.hosts):
-                await asyncio.sleep(1.0)
-                return await owners(platform)
-            await asyncio.sleep(0.1)
-
-
 async def doubled_executions(fleet: fleet_lib.Fleet) -> int:
     """Idempotency keys that ran more than once, by the living journals."""
     runs: collections.Counter = collections.Counter()
--- a/src/auburnrock/engine/keys.py
+++ b/src/auburnrock/engine/keys.py
@@ -7,6 +7,9 @@
 
 from auburnrock import records
 
+NO_SHARD = -1
+"""Stands for "no shard": any node beside a target may run the request."""
+
 
 def has_shards(settings: records.ServiceSettings) -> bool:
     """Whether a service's work has owners.
--- /dev/null
+++ b/src/auburnrock/engine/routes.py
@@ -0,0 +1,13 @@
+"""Which requests of a service are idempotent."""
+
+from auburnrock import records
+
+
+def is_idempotent(
+    settings: records.ServiceSettings, method: str, path: str
+) -> bool:
+    """Whether running a request twice is harmless, by the service's rules."""
+    return not any(
+        rule.method == method and path.startswith(rule.path_prefix)
+        for rule in settings.non_idempotent
+    )
--- a/src/auburnrock/messages.py
+++ b/src/auburnrock/messages.py
@@ -128,6 +128,7 @@
       idempotent: whether running it twice is harmless.
       idempotency_key: the caller's name for the work; empty if none.
       caller: who is calling, for fairness among callers.
+      first_try: the caller states that it has sent this nowhere else before.
     """
 
     stream: int
@@ -143,6 +144,7 @@
     idempotent: bool
     idempotency_key: str
     caller: str
+    first_try: bool = False
 
 
 class Response(msgspec.Struct, array_like=True, tag=17):
@@ -213,6 +215,34 @@
     after_revision: int
 
 
+class PullResults(msgspec.Struct, array_like=True, tag=24):
+    """The new owner of a shard asks the former one what it remembers.
+
+    Attributes:
+      stream: number of the exchange on this connection.
+      service: the service.
+      shard: the shard.
+      epoch: epoch of the former owner.
+    """
+
+    stream: int
+    service: str
+    shard: int
+    epoch: int
+
+
+class Results(msgspec.Struct, array_like=True, tag=25):
+    """Results of non-idempotent work on one shard.
+
+    Attributes:
+      stream: number of the pull that it answers.
+      data: idempotency.ShardResults in msgpack; empty if there are none.
+    """
+
+    stream: int
+    data: bytes
+
+
 class Entry(msgspec.Struct, array_like=True):
     """One record of the replica; `data` is None for a deleted one."""
 
@@ -238,7 +268,18 @@
     entries: list[Entry]
 
 
-Frame = Request | Response | Refusal | Cancel | Ping | Pong | Pull | Delta
+Frame = (
+    Request
+    | Response
+    | Refusal
+    | Cancel
+    | Ping
+    | Pong
+    | Pull
+    | Delta
+    | PullResults
+    | Results
+)
 
 
 def encode(message: Datagram | Frame) -> bytes:
--- a/src/auburnrock/programs/auburnrockd.py
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -12,10 +12,13 @@
 import aiomisc
 import uvloop
 
+from auburnrock.control import server as control_server
 from auburnrock.engine import timing as timing_lib
 from auburnrock.platform import http as http_platform
+from auburnrock.shells import control_source
 from auburnrock.shells import logs
 from auburnrock.shells import node as node_lib
+from auburnrock.shells import planned_stop
 from auburnrock.shells import settings as settings_lib
 
 SETTINGS = flags.DEFINE_string(
@@ -48,10 +51,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     event_log.write("started", incarnation=f"{node.incarnation:016x}")
+    source = control_source.NodeControl(node, stopping.set)
+    control = control_server.make_server(
+        settings.address, settings.control_port, source, event_log
+    )
     async with aiomisc.entrypoint(
-        *node.services, loop=loop, log_config=False, catch_signals=()
+        *node.services, control, loop=loop, log_config=False, catch_signals=()
     ):
         await stopping.wait()
+        await planned_stop.PlannedStop(node).run()
     await platform.close()
 
 
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -6,14 +6,35 @@
 from auburnrock.engine import assigner as assigner_lib
 from auburnrock.engine import in_force as in_force_lib
 from auburnrock.engine import owner_choice
+from auburnrock.engine import release
 from auburnrock.shells import action_runner
 from auburnrock.shells import clock
 from auburnrock.shells import executor
 from auburnrock.shells import lease_task
 from auburnrock.shells import store_sync
+from auburnrock.shells import target_slots
 from auburnrock.shells import target_task
 from auburnrock.targets import base as targets_base
 
+_REFUSALS = {
+    release.Admission.MOVING: errors.Failure(
+        errors.ErrorKind.MOVING, "the shard is being moved"
+    ),
+    release.Admission.NOT_OWNER: errors.Failure(
+        errors.ErrorKind.NOT_OWNER, "this node does not own the shard"
+    ),
+    release.Admission.NO_LEASE: errors.Failure(
+        errors.ErrorKind.NOT_OWNER, "this node has no live lease"
+    ),
+    release.Admission.NO_TARGET: errors.Failure(
+        errors.ErrorKind.NO_TARGET, "no target beside this node"
+    ),
+    release.Admission.BEHIND: errors.Failure(
+        errors.ErrorKind.NOT_OWNER,
+        "this node's configuration is older than the shard needs",
+    ),
+}
+
 
 class AssignmentTask(
     store_sync.ChangeListener,
@@ -21,15 +42,18 @@
     action_runner.Part,
     executor.Admission,
 ):
-    """Drives the assigner and admits work on this node's shards.
+    """Drives the assigner and the releases, and admits work.
 
     Attributes:
+      incarnation: this node's incarnation.
       lease: holds this node's lease.
       sync: owner of the replica.
       runner: carries out actions.
       target_task: the target beside this node.
       in_force: the configuration that is applied.
       assigner: writes assignment pages when it is this node's turn.
+      releases: what this node may admit, and what it gives away; set by
+        `set_work_count`.
     """
 
     def __init__(
@@ -46,8 +70,21 @@
         self.runner = runner
         self.target_task = target
         self.in_force = in_force_lib.InForce()
+        self.chooser = owner_choice.LeastLoaded()
         self.assigner = assigner_lib.Assigner(
-            incarnation, sync.view, owner_choice.LeastLoaded()
+            incarnation, sync.view, self.chooser
+        )
+        self.releases: release.Releases | None = None
+
+    def set_work_count(self, work: release.WorkCount) -> None:
+        """Completes the wiring with what counts the work under way."""
+        self.releases = release.Releases(
+            self.incarnation,
+            self.sync.view,
+            self.in_force,
+            self.target_task.grants,
+            self.chooser,
+            work,
         )
 
     def on_replica_changed(self, changed: list[str]) -> None:
@@ -58,56 +95,51 @@
         if self.in_force.revision != before:
             self.assigner.on_configuration(self.in_force.configuration, now_ms)
         self.assigner.on_change(changed, now_ms)
+        self.releases.on_change(changed, now_ms)
         if any(key.startswith(records.PAGES_PREFIX) for key in changed):
-            self.target_task.set_shards(self.granted())
+            self.target_task.wake()
 
     def on_tick(self, now_ms: int) -> None:
         """Goes on with what waits for time."""
         self._run(self.assigner.tick(now_ms))
+        self._run(self.releases.tick(now_ms))
 
     def on_store_result(self, result: actions.StoreResult) -> None:
         """Takes the result of a call to the store."""
-        self._run(self.assigner.on_store_result(result, clock.now_ms()))
-
-    def granted(self) -> list[targets_base.GrantedShard]:
-        """The shards that the target beside this node may serve."""
-        pages = self.sync.view.pages
-        return [
-            targets_base.GrantedShard(
-                owned.shard, pages.owner(owned.service, owned.shard).epoch
-            )
-            for owned in pages.shards_of(self.incarnation)
-        ]
+        now_ms = clock.now_ms()
+        self._run(self.assigner.on_store_result(result, now_ms))
+        self._run(self.releases.on_store_result(result, now_ms))
 
     def admit(self, service: str, shard: int) -> int | errors.Failure:
         """The epoch to run at, or why not; see executor.Admission."""
         if shard < 0:
-            return 0
-        entry = self.sync.view.pages.owner(service, shard)
-        if entry is None or entry.owner != self.incarnation:
-            return errors.Failure(
-                errors.ErrorKind.NOT_OWNER,
-                f"this node does not own shard {shard} of {service}",
-            )
-        if not self.lease.live():
-            return errors.Failure(
-                errors.ErrorKind.NOT_OWNER, "this node has no live lease"
-            )
-        return entry.epoch
-
-    def begin(self, service: str, shard: int) -> None:
-        """Notes that a request on the shard goes to the target."""
-
-    def end(self, service: str, shard: int) -> None:
-        """Notes that a request on the shard has left the target."""
+            return self._admit_any(service)
+        admission = self.releases.admission(service, shard, self.lease.live())
+        if admission is not release.Admission.SERVE:
+            return _REFUSALS[admission]
+        return self.sync.view.pages.owner(service, shard).epoch
 
     def target(self) -> targets_base.Target | None:
         """The target beside this node, once the store knows of it."""
         return self.target_task.confirmed_target()
 
+    def slots(self) -> target_slots.TargetSlots:
+        """The places at that target."""
+        return self.target_task.slots
+
     def watermark(self) -> int:
         """The replica's watermark."""
         return self.sync.view.replica.revision
 
+    def _admit_any(self, service: str) -> int | errors.Failure:
+        target = self.target_task.grants.target
+        if target is None or target.service != service:
+            return _REFUSALS[release.Admission.NO_TARGET]
+        if self.releases.leaving:
+            return errors.Failure(
+                errors.ErrorKind.DRAINING, "this node takes no new work"
+            )
+        return 0
+
     def _run(self, asked: list[actions.Action]) -> None:
         self.runner.run(self, asked)
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -1,12 +1,31 @@
 """The owner's side of a request: checks, then the target beside this node."""
 
 import abc
+import asyncio
+import collections
+import itertools
+import random
+
+import msgspec
 
 from auburnrock import errors
 from auburnrock import messages
+from auburnrock import records
+from auburnrock.engine import concurrency_limit
+from auburnrock.engine import idempotency
+from auburnrock.engine import limits
+from auburnrock.engine import quarantine as quarantine_lib
+from auburnrock.engine import release
+from auburnrock.shells import clock
 from auburnrock.shells import logs
+from auburnrock.shells import router
+from auburnrock.shells import target_slots
 from auburnrock.targets import base as targets_base
 
+_SHED_KINDS = frozenset(
+    {errors.ErrorKind.OVERLOADED, errors.ErrorKind.TARGET_REFUSED}
+)
+
 
 class Admission(abc.ABC):
     """Says whether this node may run work on a shard now."""
@@ -15,41 +34,100 @@
     def admit(self, service: str, shard: int) -> int | errors.Failure:
         """The epoch to run at, 0 for a service not divided by key."""
 
-    @abc.abstractmethod
-    def begin(self, service: str, shard: int) -> None:
-        """Notes that a request on the shard goes to the target."""
-
-    @abc.abstractmethod
-    def end(self, service: str, shard: int) -> None:
-        """Notes that a request on the shard has left the target."""
-
     @abc.abstractmethod
     def target(self) -> targets_base.Target | None:
         """The target beside this node; None while there is none."""
 
+    @abc.abstractmethod
+    def slots(self) -> target_slots.TargetSlots:
+        """The places at that target."""
+
     @abc.abstractmethod
     def watermark(self) -> int:
         """The replica's watermark."""
 
 
-class Executor:
+class CrashWatch(abc.ABC):
+    """Finds out whether a lost connection was a crash of the target."""
+
+    @abc.abstractmethod
+    async def after_lost_connection(self) -> None:
+        """Returns once a crash is known, and its suspects, or ruled out."""
+
+
+class ResultsSource(abc.ABC):
+    """Brings along what a shard's former owner remembers."""
+
+    @abc.abstractmethod
+    async def wait_for(self, service: str, shard: int) -> None:
+        """Returns when a shard's results are there or given up."""
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """How a request at the target ended.
+
+    Attributes:
+      answer: what its sender is told.
+      outcome: what it says about the target.
+    """
+
+    answer: messages.Response | messages.Refusal
+    outcome: concurrency_limit.Outcome
+
+
+class Running:
+    """One request at the target.
+
+    Attributes:
+      ticket: its place.
+      mark: its fingerprint.
+    """
+
+    __slots__ = ("mark", "ticket")
+
+    def __init__(self, ticket: limits.Ticket, mark: str):
+        self.ticket = ticket
+        self.mark = mark
+
+
+class Executor(release.WorkCount, router.LocalExecutor):
     """Runs requests at the target beside this node.
 
     Attributes:
       admission: says what may run here.
+      crash_watch: tells crashes from lost connections.
       incarnation: this node's incarnation.
       event_log: where events go.
+      results: results of non-idempotent work.
+      results_source: fills `results` when a shard is moved here; set when the
+        node is wired.
+      quarantine: requests that crashed targets.
+      running: requests at the target, by request id.
+      counts: requests sent to the target and not ended, by service and shard.
+      lost: requests given up without a whole answer, by service and shard.
+      tasks: non-idempotent work that goes on without its caller.
     """
 
     def __init__(
         self,
         admission: Admission,
+        crash_watch: CrashWatch,
         incarnation: int,
         event_log: logs.EventLog,
+        clock_margin_ms: int,
     ):
         self.admission = admission
+        self.crash_watch = crash_watch
         self.incarnation = incarnation
         self.event_log = event_log
+        self.results = idempotency.ResultWindow(clock_margin_ms)
+        self.results_source: ResultsSource | None = None
+        self.quarantine = quarantine_lib.Quarantine()
+        self.running: dict[str, Running] = {}
+        self.counts: collections.Counter = collections.Counter()
+        self.lost: collections.Counter = collections.Counter()
+        self.tasks: set[asyncio.Task] = set()
+        self._numbers = itertools.count(1)
 
     async def execute(
         self, request: messages.Request
@@ -58,29 +136,9 @@
         epoch = self.admission.admit(request.service, request.shard)
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
-        target = self.admission.target()
-        if target is None:
-            failure = errors.Failure(
-                errors.ErrorKind.NO_TARGET,
-                f"no target of {request.service} beside this node",
-            )
-            return self.refuse(request, failure)
-        self.admission.begin(request.service, request.shard)
-        try:
-            answer = await target.run(_work(request, epoch))
-        except targets_base.TargetError as error:
-            return self.refuse(request, error.failure)
-        finally:
-            self.admission.end(request.service, request.shard)
-        return messages.Response(
-            stream=request.stream,
-            request_id=request.request_id,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            owner=self.incarnation,
-            epoch=epoch,
-        )
+        if request.idempotent or request.shard < 0:
+            return await self._run_with_place(request)
+        return await self._run_at_most_once(request, epoch)
 
     def refuse(
         self, request: messages.Request, failure: errors.Failure
@@ -101,8 +159,250 @@
             watermark=self.admission.watermark(),
         )
 
+    def in_flight(self, service: str, shard: int) -> int:
+        """Admitted requests that wait for the target's answer."""
+        return self.counts[service, shard]
+
+    def unanswered(self, service: str, shard: int) -> int:
+        """Requests given up without a whole answer of the target."""
+        return self.lost[service, shard]
+
+    def on_target_ended(self) -> list[records.QuarantineRecord]:
+        """The target has ended; returns the records of what it ran."""
+        self.lost.clear()
+        return self.quarantine.crashed(clock.wall_ms())
+
+    async def _run_at_most_once(
+        self, request: messages.Request, epoch: int
+    ) -> messages.Response | messages.Refusal:
+        """Runs work under its idempotency key.
+
+        The work goes on if its caller leaves: its answer is kept for the
+        repeat that may come.
+        """
+        self.results.own(request.service, request.shard, epoch, clock.wall_ms())
+        name = idempotency.WorkName(
+            request.service, request.key, "", request.idempotency_key
+        )
+        verdict = self.results.begin(
+            clock.wall_ms(),
+            request.shard,
+            name,
+            _mark(request),
+            request.first_try,
+        )
+        if isinstance(verdict, idempotency.Decline):
+            return self.refuse(request, verdict.failure)
+        if isinstance(verdict, idempotency.Replay):
+            return self._replay(request, verdict.response)
+        task = asyncio.create_task(self._run_and_keep(request, name))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return await asyncio.shield(task)
+
+    async def _run_and_keep(
+        self, request: messages.Request, name: idempotency.WorkName
+    ) -> messages.Response | messages.Refusal:
+        answer = None
+        try:
+            answer = await self._run_with_place(request)
+        finally:
+            self._keep(request, name, answer)
+        return answer
+
+    def _keep(
+        self,
+        request: messages.Request,
+        name: idempotency.WorkName,
+        answer: messages.Response | messages.Refusal | None,
+    ) -> None:
+        if isinstance(answer, messages.Response):
+            self.results.done(request.shard, name, answer)
+        elif (
+            answer is not None
+            and errors.ANSWERS[answer.kind].ran is errors.Ran.NO
+        ):
+            self.results.not_run(request.shard, name)
+        else:
+            self.results.lost(request.shard, name)
+
+    def _replay(
+        self, request: messages.Request, kept: messages.Response
+    ) -> messages.Response:
+        return messages.Response(
+            request.stream,
+            request.request_id,
+            kept.status,
+            kept.headers,
+            kept.body,
+            kept.owner,
+            kept.epoch,
+        )
+
+    async def _run_with_place(
+        self, request: messages.Request
+    ) -> messages.Response | messages.Refusal:
+        """Waits for a place at the target, checks again and runs."""
+        deadline_at_ms = clock.now_ms() + request.deadline_ms
+        mark = _mark(request)
+        verdict = self.quarantine.check(clock.wall_ms(), mark)
+        if isinstance(verdict, errors.Failure):
+            return self.refuse(request, verdict)
+        is_second = self._note_second_attempt(request)
+        ticket = limits.Ticket(
+            next(self._numbers),
+            request.caller,
+            deadline_at_ms,
+            request.idempotent,
+            verdict is quarantine_lib.Verdict.ALONE,
+            random.random(),
+        )
+        slots = self.admission.slots()
+        failure = await slots.acquire(ticket)
+        if failure is not None:
+            return self.refuse(request, failure)
+        return await self._run(request, Running(ticket, mark), slots, is_second)
+
+    def _note_second_attempt(self, request: messages.Request) -> bool:
+        """Whether the entry sends again what runs here in silence."""
+        first = self.running.get(request.request_id)
+        if first is None:
+            return False
+        self.event_log.write(
+            "target_connection_silent", request_id=request.request_id
+        )
+        self.admission.slots().gone_silent(first.ticket)
+        return True
+
+    async def _run(
+        self,
+        request: messages.Request,
+        running: Running,
+        slots: target_slots.TargetSlots,
+        is_second: bool,
+    ) -> messages.Response | messages.Refusal:
+        """Runs a request that has its place; gives the place back."""
+        began_ms = clock.now_ms()
+        outcome = concurrency_limit.Outcome.ABANDONED
+        self.quarantine.started(
+            running.ticket.number, running.mark, running.ticket.alone
+        )
+        self.running.setdefault(request.request_id, running)
+        try:
+            sent = await self._send(request, running, is_second)
+            outcome = sent.outcome
+        finally:
+            if self.running.get(request.request_id) is running:
+                del self.running[request.request_id]
+            survived = outcome is concurrency_limit.Outcome.DONE
+            self.quarantine.finished(
+                clock.wall_ms(), running.ticket.number, survived
+            )
+            slots.release(running.ticket, outcome, clock.now_ms() - began_ms)
+        return sent.answer
+
+    async def _send(
+        self, request: messages.Request, running: Running, is_second: bool
+    ) -> Sent:
+        """Sends to the target; the ownership is checked just before."""
+        epoch = self.admission.admit(request.service, request.shard)
+        if isinstance(epoch, errors.Failure):
+            return self._not_sent(request, epoch)
+        target = self.admission.target()
+        if target is None:
+            failure = errors.Failure(
+                errors.ErrorKind.NO_TARGET,
+                f"no target of {request.service} beside this node",
+            )
+            return self._not_sent(request, failure)
+        deadline_ms = running.ticket.deadline_at_ms - clock.now_ms()
+        if deadline_ms <= 0:
+            failure = errors.Failure(
+                errors.ErrorKind.DEADLINE_EXCEEDED, "its time was over here"
+            )
+            return self._not_sent(request, failure)
+        work = _work(request, epoch, deadline_ms)
+        # A connection that has gone silent costs a non-idempotent request its
+        # outcome, so such a request never meets an older one.
+        fresh = is_second or not request.idempotent
+        place = (request.service, request.shard)
+        self.counts[place] += 1
+        try:
+            answer = await target.run(work, fresh)
+        except targets_base.TargetError as error:
+            return await self._failed(request, error)
+        except asyncio.CancelledError:
+            self.lost[place] += 1
+            self._cancel_at_target(target, request.request_id)
+            raise
+        finally:
+            self.counts[place] -= 1
+        response = messages.Response(
+            stream=request.stream,
+            request_id=request.request_id,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            owner=self.incarnation,
+            epoch=epoch,
+        )
+        return Sent(response, concurrency_limit.Outcome.DONE)
+
+    async def _failed(
+        self, request: messages.Request, error: targets_base.TargetError
+    ) -> Sent:
+        if isinstance(error, targets_base.LostError):
+            self.lost[request.service, request.shard] += 1
+            if error.connection_ended:
+                await self.crash_watch.after_lost_connection()
+        refusal = self.refuse(request, error.failure)
+        return Sent(refusal, _outcome(error))
+
+    def _not_sent(
+        self, request: messages.Request, failure: errors.Failure
+    ) -> Sent:
+        refusal = self.refuse(request, failure)
+        return Sent(refusal, concurrency_limit.Outcome.ABANDONED)
+
+    def _cancel_at_target(
+        self, target: targets_base.Target, request_id: str
+    ) -> None:
+        task = asyncio.create_task(_cancel(target, request_id))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+async def _cancel(target: targets_base.Target, request_id: str) -> None:
+    try:
+        await target.cancel(request_id)
+    except targets_base.TargetError:
+        # The work ends with its deadline; nobody waits for it.
+        return
+
+
+def _outcome(error: targets_base.TargetError) -> concurrency_limit.Outcome:
+    if isinstance(error, targets_base.LostError):
+        if error.silent:
+            return concurrency_limit.Outcome.TIMED_OUT
+        return concurrency_limit.Outcome.LOST
+    if error.failure.kind in _SHED_KINDS:
+        return concurrency_limit.Outcome.REFUSED
+    return concurrency_limit.Outcome.ABANDONED
+
+
+def _mark(request: messages.Request) -> str:
+    return quarantine_lib.fingerprint(
+        request.service,
+        request.method,
+        request.path,
+        request.key,
+        request.body,
+    )
+
 
-def _work(request: messages.Request, epoch: int) -> targets_base.Work:
+def _work(
+    request: messages.Request, epoch: int, deadline_ms: int
+) -> targets_base.Work:
     return targets_base.Work(
         request_id=request.request_id,
         method=request.method,
@@ -112,5 +412,5 @@
         key=request.key,
         shard=request.shard,
         epoch=epoch,
-        deadline_ms=request.deadline_ms,
+        deadline_ms=deadline_ms,
     )
--- a/src/auburnrock/shells/frames.py
+++ b/src/auburnrock/shells/frames.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 0.3
 PING_AFTER_SILENCE_S = 0.25
 SILENT_AFTER_S = 0.75
+PROVEN_FOR_S = 0.25
+PROBE_S = 0.1
 
 
 class PeerError(Exception):
@@ -67,6 +69,7 @@
       exchanges: futures of the exchanges that wait for an answer, by stream.
       quiet_since_s: loop time since when the peer owes an answer and has
         sent nothing.
+      heard_s: loop time of the last bytes received.
       retired: no new exchange may use this connection.
     """
 
@@ -76,7 +79,9 @@
         self.exchanges: dict[int, asyncio.Future] = {}
         self.loop = asyncio.get_running_loop()
         self.quiet_since_s = self.loop.time()
+        self.heard_s = self.loop.time()
         self.retired = False
+        self._pong: asyncio.Future | None = None
         self._next_stream = 0
         self._received = bytearray()
         self._outgoing: list[bytes] = []
@@ -91,7 +96,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Called by asyncio with received bytes."""
-        self.quiet_since_s = self.loop.time()
+        self.heard_s = self.loop.time()
+        self.quiet_since_s = self.heard_s
         self._received += data
         offset = 0
         try:
@@ -134,6 +140,19 @@
             and not self.transport.is_closing()
         )
 
+    async def answers_ping(self, timeout_s: float) -> bool:
+        """Asks the peer whether the connection still carries frames."""
+        if self._pong is None:
+            self._pong = self.loop.create_future()
+            self.send(messages.Ping(0))
+        done, _ = await asyncio.wait([self._pong], timeout=timeout_s)
+        return bool(done)
+
+    def _note_pong(self) -> None:
+        if self._pong is not None:
+            self._pong.set_result(None)
+            self._pong = None
+
     def end(self, error: PeerError) -> None:
         """Closes the connection; waiting exchanges get `error`."""
         self.retired = True
@@ -173,8 +192,13 @@
             case messages.Ping():
                 self.send(messages.Pong(frame.sequence))
             case messages.Pong():
-                pass
-            case messages.Response() | messages.Refusal() | messages.Delta():
+                self._note_pong()
+            case (
+                messages.Response()
+                | messages.Refusal()
+                | messages.Delta()
+                | messages.Results()
+            ):
                 future = self.exchanges.pop(frame.stream, None)
                 # An answer to an exchange that was given up is dropped here.
                 if future is not None and not future.done():
@@ -208,12 +232,14 @@
         self,
         host: str,
         port: int,
-        frame: messages.Request | messages.Pull,
+        frame: messages.Request | messages.Pull | messages.PullResults,
         timeout_s: float,
         fresh_connection: bool = False,
     ) -> messages.Frame:
         """Sends a frame and returns its answer; raises PeerError."""
         connection = self._connected(host, port)
+        if connection is not None and _must_be_proven(connection, frame):
+            fresh_connection |= not await connection.answers_ping(PROBE_S)
         if connection is None or fresh_connection:
             connection = await self._open(host, port, fresh_connection)
         stream, future = connection.open_exchange()
@@ -281,6 +307,18 @@
         return connection
 
 
+def _must_be_proven(connection: FrameConnection, frame: messages.Frame) -> bool:
+    """Whether a connection must answer a ping before it carries a frame.
+
+    A request that must not be repeated is lost for good on a connection that
+    has gone silent, so an idle one is probed first.
+    """
+    if not isinstance(frame, messages.Request) or frame.idempotent:
+        return False
+    idle_s = connection.loop.time() - connection.heard_s
+    return idle_s > PROVEN_FOR_S
+
+
 def _expire(future: asyncio.Future, timeout_s: float) -> None:
     if not future.done():
         future.set_exception(
--- a/src/auburnrock/shells/front.py
+++ b/src/auburnrock/shells/front.py
@@ -12,11 +12,12 @@
 from auburnrock import messages
 from auburnrock import records
 from auburnrock.engine import keys
+from auburnrock.engine import routes
 from auburnrock.shells import wire
 from auburnrock.targets import base as targets_base
 
 LONGEST_DEADLINE_MS = 60_000
-NO_SHARD = -1
+BACKLOG = 1024
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -38,8 +39,10 @@
     """Receives what the target beside this node says of itself."""
 
     @abc.abstractmethod
-    def on_announcement(self, announcement: targets_base.Announcement) -> None:
-        """Handles one announcement; must not block."""
+    def on_announcement(
+        self, announcement: targets_base.Announcement
+    ) -> errors.Failure | None:
+        """Handles one announcement; returns why it is refused, if it is."""
 
 
 class Front(aiomisc.Service):
@@ -72,14 +75,23 @@
         self.in_progress = 0
         self.accepting = True
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def start(self) -> None:
         """Opens the port."""
         server = web.Server(self._handle, access_log=None)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.address, self.port, backlog=1024)
-        await site.start()
+        self._site = web.TCPSite(
+            self._runner, self.address, self.port, backlog=BACKLOG
+        )
+        await self._site.start()
+
+    async def close_port(self) -> None:
+        """Takes no new connections; open ones finish their requests."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Closes the port."""
@@ -91,13 +103,18 @@
             return await self._handle_own(http)
         self.in_progress += 1
         try:
-            return await self._handle_caller(http)
+            response = await self._handle_caller(http)
         finally:
             self.in_progress -= 1
+        if not self.accepting:
+            # Tells the caller to open its next connection elsewhere.
+            response.force_close()
+        return response
 
     async def _handle_own(self, http: web.BaseRequest) -> web.Response:
         if http.path == wire.HEALTH_PATH:
-            return web.Response(text="ok" if self.accepting else "stopping")
+            status = 200 if self.accepting else 503
+            return web.Response(status=status)
         if http.path != wire.ANNOUNCE_PATH or http.method != "POST":
             return failure_response(
                 errors.Failure(
@@ -116,18 +133,15 @@
                 errors.ErrorKind.BAD_REQUEST, f"announcement: {error}"
             )
             return failure_response(failure, "")
-        self.announcements.on_announcement(announcement)
+        refused = self.announcements.on_announcement(announcement)
+        if refused is not None:
+            return failure_response(refused, "")
         return web.Response(status=200)
 
     async def _handle_caller(self, http: web.BaseRequest) -> web.Response:
         request_id = http.headers.get(wire.REQUEST_ID) or str(
             uuid_utils.uuid7()
         )
-        if not self.accepting:
-            failure = errors.Failure(
-                errors.ErrorKind.DRAINING, "this node stops; call another one"
-            )
-            return failure_response(failure, request_id)
         parsed = await self._parse(http, str(request_id))
         if isinstance(parsed, errors.Failure):
             return failure_response(parsed, request_id)
@@ -163,7 +177,7 @@
         body = await self._read_body(http)
         if isinstance(body, errors.Failure):
             return body
-        idempotent = is_idempotent(settings, http.method, "/" + path)
+        idempotent = routes.is_idempotent(settings, http.method, "/" + path)
         idempotency_key = http.headers.get(wire.IDEMPOTENCY_KEY, "")
         if not idempotent and not idempotency_key:
             return errors.Failure(
@@ -174,7 +188,7 @@
         owned_by = keys.routing_key(
             settings, key, "" if idempotent else idempotency_key
         )
-        shard = keys.shard_of(settings, owned_by) if owned_by else NO_SHARD
+        shard = keys.shard_of(settings, owned_by) if owned_by else keys.NO_SHARD
         return messages.Request(
             stream=0,
             request_id=request_id,
@@ -189,6 +203,7 @@
             idempotent=idempotent,
             idempotency_key=str(idempotency_key),
             caller=str(http.headers.get(wire.CALLER, http.remote or "")),
+            first_try=http.headers.get(wire.FIRST_TRY) == "yes",
         )
 
     def _service_settings(self, name: str) -> records.ServiceSettings | None:
@@ -212,16 +227,6 @@
         return bytes(body)
 
 
-def is_idempotent(
-    settings: records.ServiceSettings, method: str, path: str
-) -> bool:
-    """Whether running a request twice is harmless, by the service's rules."""
-    return not any(
-        rule.method == method and path.startswith(rule.path_prefix)
-        for rule in settings.non_idempotent
-    )
-
-
 def failure_response(failure: errors.Failure, request_id: str) -> web.Response:
     """The HTTP answer of an error."""
     answer = failure.answer()
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -86,11 +86,16 @@
             clock.now_ms()
         )
 
-    def left_ms(self, now_ms: int) -> int:
-        """How long the lease is still valid."""
+    def expires_at_ms(self) -> int:
+        """When the lease ends without another renewal; 0 without a lease."""
         if self.member is None:
             return 0
-        return self.member.holder.left_ms(now_ms)
+        return self.member.holder.expires_at_ms()
+
+    def on_node_ended(self, incarnation: int) -> None:
+        """Takes the operator's word that a node and its target have ended."""
+        asked = self.member.on_node_ended(clock.now_ms(), incarnation)
+        self.runner.run(self, asked)
 
     def on_datagram(
         self, message: messages.Datagram, sender: tuple[str, int]
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -18,12 +18,16 @@
 from auburnrock.shells import logs
 from auburnrock.shells import metrics as metrics_lib
 from auburnrock.shells import peer_server
+from auburnrock.shells import quarantine_task
+from auburnrock.shells import results_task
 from auburnrock.shells import router
 from auburnrock.shells import settings as settings_lib
 from auburnrock.shells import store_sync
 from auburnrock.shells import target_task
+from auburnrock.targets import base as targets_base
 
 RANDOM_BITS = 20
+UPKEEP_INTERVAL_MS = 1_000
 
 
 def new_incarnation() -> int:
@@ -61,6 +65,56 @@
         self.entry_router.on_table_advanced()
 
 
+class TargetEvents(target_task.ShardSource):
+    """Passes what happens to the target on to the parts concerned."""
+
+    def __init__(
+        self,
+        assignment: assignment_task.AssignmentTask,
+        request_executor: executor.Executor,
+        quarantine: quarantine_task.QuarantineTask,
+    ):
+        self.assignment = assignment
+        self.executor = request_executor
+        self.quarantine = quarantine
+
+    def limits(self, service: str) -> records.ServiceSettings:
+        """Settings that bound the use of a target of a service."""
+        settings = self.assignment.in_force.settings(service)
+        return settings or records.ServiceSettings()
+
+    def grantable(self) -> list[targets_base.GrantedShard]:
+        """The shards to grant now."""
+        return self.assignment.releases.grantable()
+
+    def on_target_ended(self) -> list[records.QuarantineRecord]:
+        """Notes what the target ran; see the base class."""
+        return self.executor.on_target_ended()
+
+    async def spread(self, crashed: list[records.QuarantineRecord]) -> None:
+        """Spreads the suspects of the crash."""
+        await self.quarantine.spread(crashed)
+
+
+class Upkeep(lease_task.TickListener):
+    """Does a node's regular small jobs."""
+
+    def __init__(self, node: "Node"):
+        self.node = node
+        self.next_ms = 0
+
+    def on_tick(self, now_ms: int) -> None:
+        """Writes open quarantine records; each second forgets old state."""
+        self.node.quarantine.tick(now_ms)
+        self.node.executor.results.expire(clock.wall_ms())
+        self.node.results.tick(now_ms)
+        if now_ms < self.next_ms:
+            return
+        self.next_ms = now_ms + UPKEEP_INTERVAL_MS
+        self.node.entry_router.forget_ended()
+        self.node.report_metrics()
+
+
 class Node:
     """One node.
 
@@ -99,16 +153,44 @@
         self.lease = lease_task.LeaseTask(
             self._record(), timing, self.sync, self.runner, event_log
         )
-        self.target = target_task.TargetTask(self.lease, event_log)
+        self.target = target_task.TargetTask(self.lease, timing, event_log)
         self.assignment = assignment_task.AssignmentTask(
             self.incarnation, self.lease, self.sync, self.runner, self.target
         )
         self.executor = executor.Executor(
-            self.assignment, self.incarnation, event_log
+            self.assignment,
+            self.target,
+            self.incarnation,
+            event_log,
+            settings.clock_margin_ms,
+        )
+        self.assignment.set_work_count(self.executor)
+        self.quarantine = quarantine_task.QuarantineTask(
+            self.executor.quarantine,
+            self.incarnation,
+            self.sync,
+            self.runner,
+            event_log,
+        )
+        self.results = results_task.ResultsTask(
+            self.incarnation,
+            self.executor.results,
+            self.sync,
+            self.peers,
+            event_log,
+        )
+        self.executor.results_source = self.results
+        self.target.shards = TargetEvents(
+            self.assignment, self.executor, self.quarantine
         )
         self.entry_router = router.EntryRouter(
-            self.sync.view, self.peers, self.incarnation, self.executor
+            self.sync.view,
+            self.peers,
+            settings.zone,
+            self.incarnation,
+            self.executor,
         )
+        self.entry_router.table = self.sync
         node_router = NodeRouter(self.entry_router, self.assignment)
         self.front = front.Front(
             settings.address,
@@ -117,12 +199,19 @@
             self.target,
             settings.largest_body_bytes,
         )
-        handler = peer_server.PeerHandler(self.executor, self.sync, event_log)
+        handler = peer_server.PeerHandler(
+            self.executor, self.sync, self.results, event_log
+        )
         self.peer_server = peer_server.PeerServer(
             settings.address, settings.peer_port, handler, self.peers
         )
-        self.sync.listeners += [self.assignment, node_router]
-        self.lease.listeners.append(self.assignment)
+        self.sync.listeners += [
+            self.assignment,
+            self.results,
+            self.quarantine,
+            node_router,
+        ]
+        self.lease.listeners += [self.assignment, Upkeep(self)]
         self.services: list[aiomisc.Service] = [
             self.front,
             self.sync,
@@ -131,6 +220,27 @@
             self.target,
         ]
 
+    def begin_drain(self) -> None:
+        """Begins to give away all that this node owns."""
+        if self.lease.member is not None:
+            self.lease.member.holder.drain()
+        self.assignment.releases.leave()
+
+    def report_metrics(self) -> None:
+        """Sends the gauges; docs/operators/metrics.md lists them."""
+        metrics = self.metrics
+        view = self.sync.view
+        metrics.gauge("lease.live", int(self.lease.live()))
+        metrics.gauge("replica.revision", view.replica.revision)
+        metrics.gauge("store.reachable", int(self.sync.store_reachable))
+        metrics.gauge("requests.in_progress", self.front.in_progress)
+        metrics.gauge(
+            "shards.owned", len(view.pages.shards_of(self.incarnation))
+        )
+        metrics.gauge(
+            "configuration.revision", self.assignment.in_force.revision
+        )
+
     def _record(self) -> records.NodeRecord:
         settings = self.settings
         return records.NodeRecord(
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -9,6 +9,7 @@
 from auburnrock.shells import executor
 from auburnrock.shells import frames
 from auburnrock.shells import logs
+from auburnrock.shells import results_task
 from auburnrock.shells import store_sync
 
 SILENCE_CHECK_S = 0.1
@@ -20,6 +21,7 @@
     Attributes:
       executor: runs requests at the target.
       sync: owns the replica.
+      results: knows what this node remembers of released shards.
       event_log: where events go.
       running: task of each exchange in progress, by connection and stream.
     """
@@ -28,10 +30,12 @@
         self,
         request_executor: executor.Executor,
         sync: store_sync.StoreSync,
+        results: results_task.ResultsTask,
         event_log: logs.EventLog,
     ):
         self.executor = request_executor
         self.sync = sync
+        self.results = results
         self.event_log = event_log
         self.running: dict[
             tuple[frames.FrameConnection, int], asyncio.Task
@@ -53,6 +57,8 @@
                 connection.send(
                     replica.delta_after(frame.stream, frame.after_revision)
                 )
+            case messages.PullResults():
+                connection.send(self.results.answer(frame))
             case _:
                 self.on_garbage(f"unexpected frame {type(frame).__name__}")
 
--- a/src/auburnrock/shells/router.py
+++ b/src/auburnrock/shells/router.py
@@ -11,6 +11,7 @@
 from auburnrock import errors
 from auburnrock import messages
 from auburnrock import records
+from auburnrock.engine import balancing
 from auburnrock.engine import connections
 from auburnrock.engine import request as request_lib
 from auburnrock.engine import request_events
@@ -22,6 +23,16 @@
 MILLISECONDS_PER_SECOND = 1_000
 
 
+_FAULTS_OF_REQUEST = frozenset(
+    {
+        errors.ErrorKind.BAD_REQUEST,
+        errors.ErrorKind.QUARANTINED,
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+    }
+)
+"""Refusals that say nothing about the node that refused."""
+
+
 class LocalExecutor(abc.ABC):
     """Runs requests that need not leave this process."""
 
@@ -32,6 +43,14 @@
         """Runs one request at the target beside this node."""
 
 
+class TableSource(abc.ABC):
+    """Keeps the owner table up to date."""
+
+    @abc.abstractmethod
+    def on_hint(self, host: str, port: int, watermark: int) -> None:
+        """Catches up from a node whose replica has reached a revision."""
+
+
 class KeyedRoute(request_lib.Route):
     """Sends to the owner of a shard, as far as the replica knows it."""
 
@@ -58,24 +77,19 @@
 
 
 class AnyNodeRoute(request_lib.Route):
-    """Sends to any node beside a target of the service."""
+    """Sends to the node of a service that is expected to answer first."""
 
-    __slots__ = ("router", "service")
+    __slots__ = ("balancer", "router")
 
     def __init__(self, router: "EntryRouter", service: str):
         self.router = router
-        self.service = service
+        self.balancer = router.balancer(service)
 
     def choose(self, avoid: list[int]) -> int:
-        """A node of the service, at random; one to avoid only if alone."""
-        nodes = [
-            record.incarnation
-            for record in self.router.view.members.serving(self.service)
-        ]
-        if not nodes:
-            return 0
-        wanted = [node for node in nodes if node not in avoid]
-        return random.choice(wanted or nodes)
+        """A node by load and zone; one to avoid only if there is no other."""
+        return self.balancer.choose(
+            clock.now_ms(), (random.random(), random.random()), avoid
+        )
 
     def silent_after_ms(self, node: int) -> int:
         """How long a node may be silent."""
@@ -93,15 +107,23 @@
       entries: state shared by the requests of each service.
       exchanges: requests that have no answer yet.
       answer_times: estimate of each node's answer time.
+      zone: availability zone of this process.
+      table: keeps `view` up to date; set when the process is wired.
+      balancers: choice of node for each service that is not divided by key.
     """
 
     def __init__(
         self,
         view: view_lib.View,
         peers: frames.PeerConnections,
+        zone: str,
         incarnation: int = 0,
         local: LocalExecutor | None = None,
     ):
+        self.zone = zone
+        self.table: TableSource | None = None
+        self.balancers: dict[str, balancing.Balancer] = {}
+        self._balanced_version = -1
         self.view = view
         self.peers = peers
         self.incarnation = incarnation
@@ -140,6 +162,24 @@
             self.answer_times[node] = connections.AnswerTime()
         return self.answer_times[node]
 
+    def balancer(self, service: str) -> balancing.Balancer:
+        """The choice of node for a service, with its present nodes."""
+        version = self.view.members.version
+        if version != self._balanced_version:
+            self._balanced_version = version
+            for name, balancer in self.balancers.items():
+                balancer.set_nodes(self._zones(name))
+        if service not in self.balancers:
+            self.balancers[service] = balancing.Balancer(self.zone)
+            self.balancers[service].set_nodes(self._zones(service))
+        return self.balancers[service]
+
+    def _zones(self, service: str) -> dict[int, str]:
+        return {
+            record.incarnation: record.zone
+            for record in self.view.members.serving(service)
+        }
+
     def forget_ended(self) -> None:
         """Drops the estimates of nodes that are gone."""
         for node in list(self.answer_times):
@@ -152,6 +192,14 @@
             return KeyedRoute(self, request.service, request.shard)
         return AnyNodeRoute(self, request.service)
 
+    def on_refusal(self, node: int, refusal: messages.Refusal) -> None:
+        """Catches up with a node that knows more; see TableSource."""
+        record = self.view.members.get(node)
+        if record is not None and self.table is not None:
+            self.table.on_hint(
+                record.address, record.peer_port, refusal.watermark
+            )
+
     async def send(
         self, send: request_events.Send, request: messages.Request
     ) -> messages.Response | messages.Refusal:
@@ -170,6 +218,7 @@
             request.idempotent,
             request.idempotency_key,
             request.caller,
+            request.first_try,
         )
         if self.local is not None and send.node == self.incarnation:
             return await self.local.execute(attempt)
@@ -274,18 +323,42 @@
 
     async def _attempt(self, send: request_events.Send) -> None:
         began_ms = clock.now_ms()
+        balancer = self._balancer()
+        outcome = balancing.Outcome.ABANDONED
+        if balancer is not None:
+            balancer.sent(send.node)
         try:
-            frame = await self.router.send(send, self.request)
-        except frames.PeerError as error:
-            event = _failed(send.attempt, error)
-        else:
-            event = _ended(send.attempt, frame)
-        self.attempts.pop(send.attempt, None)
-        if isinstance(event, request_events.Answered):
+            event = await self._exchange(send)
+            outcome = _outcome(event)
+        finally:
             answer_ms = clock.now_ms() - began_ms
+            if balancer is not None:
+                now_ms = clock.now_ms()
+                balancer.ended(now_ms, send.node, outcome, answer_ms)
+        self.attempts.pop(send.attempt, None)
+        if outcome is balancing.Outcome.ANSWERED:
             self.router.answer_time(send.node).observe(answer_ms)
         self.handle(event)
 
+    async def _exchange(
+        self, send: request_events.Send
+    ) -> request_events.Event:
+        try:
+            frame = await self.router.send(send, self.request)
+        except frames.PeerError as error:
+            return _failed(send.attempt, error)
+        except Exception as error:
+            # Whatever went wrong here, the caller must get its answer.
+            return request_events.Lost(send.attempt, repr(error))
+        if isinstance(frame, messages.Refusal):
+            self.router.on_refusal(send.node, frame)
+        return _ended(send.attempt, frame)
+
+    def _balancer(self) -> balancing.Balancer | None:
+        if self.request.shard >= 0:
+            return None
+        return self.router.balancer(self.request.service)
+
     def _set_timer(self) -> None:
         wake_at_ms = self.lifecycle.wake_at_ms
         if self._timer is not None:
@@ -303,6 +376,19 @@
         self.handle(request_events.Tick())
 
 
+def _outcome(event: request_events.Event) -> balancing.Outcome:
+    if isinstance(event, request_events.Answered):
+        return balancing.Outcome.ANSWERED
+    if not isinstance(event, request_events.Refused):
+        return balancing.Outcome.LOST
+    kind = event.failure.kind
+    if errors.ANSWERS[kind].ran is not errors.Ran.NO:
+        return balancing.Outcome.LOST
+    if kind in _FAULTS_OF_REQUEST:
+        return balancing.Outcome.ABANDONED
+    return balancing.Outcome.SHED
+
+
 def _ended(attempt: int, frame: messages.Frame) -> request_events.Event:
     match frame:
         case messages.Response():
--- a/src/auburnrock/shells/store_sync.py
+++ b/src/auburnrock/shells/store_sync.py
@@ -21,6 +21,7 @@
 from auburnrock.platform import base as platform_base
 from auburnrock.shells import frames
 from auburnrock.shells import logs
+from auburnrock.shells import router
 
 EVERYTHING = ""
 FEWEST_READERS = 3
@@ -54,7 +55,7 @@
     return incarnation in ranked[: reader_count(len(active))]
 
 
-class StoreSync(aiomisc.Service):
+class StoreSync(aiomisc.Service, router.TableSource):
     """The task that owns the replica.
 
     Attributes:
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -1,76 +1,133 @@
 """The task that knows the target beside this node and grants it its shards."""
 
+import abc
 import asyncio
+import contextlib
 
 import aiomisc
 
+from auburnrock import errors
+from auburnrock import records
+from auburnrock.engine import grants as grants_lib
+from auburnrock.engine import timing as timing_lib
 from auburnrock.shells import clock
+from auburnrock.shells import executor
 from auburnrock.shells import front
 from auburnrock.shells import lease_task
 from auburnrock.shells import logs
+from auburnrock.shells import target_slots
 from auburnrock.targets import base as targets_base
 from auburnrock.targets import http as http_target
 
-GRANT_INTERVAL_MS = 300
-IDLE_S = 0.05
+TICK_S = 0.02
+PROBE_TIMEOUT_S = 0.2
+DEFAULTS = records.ServiceSettings()
 
 
-class TargetTask(aiomisc.Service, front.AnnouncementHandler):
-    """Receives announcements and renews the target's grant.
+class ShardSource(abc.ABC):
+    """Knows what the target beside this node may serve."""
+
+    @abc.abstractmethod
+    def limits(self, service: str) -> records.ServiceSettings:
+        """Settings that bound the use of a target of a service."""
+
+    @abc.abstractmethod
+    def grantable(self) -> list[targets_base.GrantedShard]:
+        """The shards to grant now."""
+
+    @abc.abstractmethod
+    def on_target_ended(self) -> list[records.QuarantineRecord]:
+        """The target has surely ended; returns records of what it ran."""
+
+    @abc.abstractmethod
+    async def spread(self, crashed: list[records.QuarantineRecord]) -> None:
+        """Returns once the records are spread, or after a short time."""
+
+
+class TargetTask(
+    aiomisc.Service, front.AnnouncementHandler, executor.CrashWatch
+):
+    """Receives announcements, renews the grant, and notices crashes.
 
     Attributes:
       lease: holds this node's lease, which bounds each grant.
       event_log: where events go.
-      client: client of the target; None before it has announced itself.
-      announced: its latest announcement.
-      heard_ms: when `clock_ms` was received, on this node's clock.
-      clock_ms: the latest reading of the target's clock.
-      shards: the shards to grant.
+      grants: decides what to grant and reads the answers.
+      client: client of the target; None while there is none.
+      announced: the present target's latest announcement.
+      slots: places at the target.
+      shards: knows what to grant; set when the node is wired.
     """
 
-    def __init__(self, lease: lease_task.LeaseTask, event_log: logs.EventLog):
+    def __init__(
+        self,
+        lease: lease_task.LeaseTask,
+        timing: timing_lib.Timing,
+        event_log: logs.EventLog,
+    ):
         super().__init__()
         self.lease = lease
         self.event_log = event_log
+        self.grants = grants_lib.Grants(lease.record.incarnation, timing)
         self.client: http_target.HttpTarget | None = None
         self.announced: targets_base.Announcement | None = None
-        self.heard_ms = 0
-        self.clock_ms = 0
-        self.shards: list[targets_base.GrantedShard] = []
-        self._next_grant_ms = 0
+        self.slots = target_slots.TargetSlots(
+            DEFAULTS.slots, DEFAULTS.connections
+        )
+        self.shards: ShardSource | None = None
         self._changed = asyncio.Event()
-        self._closing: asyncio.Task | None = None
+        self._ending: asyncio.Task | None = None
+        self._closing: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Renews the grant until cancelled."""
         self.start_event.set()
         while True:
-            await self._wait()
-            if self.confirmed_target() is not None and self.lease.live():
-                await self._grant()
+            await self._grant_if_due()
+            self.slots.expire()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._changed.wait()
+            self._changed.clear()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Closes the connections to the target."""
         if self.client is not None:
             await self.client.close()
 
-    def on_announcement(self, announcement: targets_base.Announcement) -> None:
-        """Takes in what the target says of itself."""
-        known = self.announced
-        self.announced = announcement
-        self._read_clock(announcement.clock_ms)
-        if known is None or known.incarnation != announcement.incarnation:
-            self._replace_client(announcement)
-        if self.lease.member is not None:
-            self.lease.member.holder.set_target(
-                announcement.service,
-                announcement.address,
-                announcement.incarnation,
-                announcement.checks_grants,
+    def wake(self) -> None:
+        """Grants at once if something has changed."""
+        self._changed.set()
+
+    def on_announcement(
+        self, announcement: targets_base.Announcement
+    ) -> errors.Failure | None:
+        """Takes in what the target says of itself; see the base class."""
+        if self._is_another(announcement):
+            return errors.Failure(
+                errors.ErrorKind.CONFLICT,
+                f"a target at {self.announced.address} is beside this node;"
+                f" got an announcement of {announcement.address}",
             )
+        now_ms = clock.now_ms()
+        ended_before = self.grants.on_announced(announcement, now_ms)
+        is_new = (
+            self.announced is None
+            or self.announced.incarnation != announcement.incarnation
+        )
+        self.announced = announcement
+        if ended_before:
+            self._note_end("a new incarnation was announced")
+        if is_new:
+            self._connect(announcement)
+        self._tell_holder(announcement)
+        return None
 
     def confirmed_target(self) -> targets_base.Target | None:
-        """The target, once this node's record in the store names it."""
+        """The target, once this node's record in the store names it.
+
+        Before that, whoever ends this node does not know of the target.
+        """
         if self.announced is None or self.lease.member is None:
             return None
         record = self.lease.member.holder.record
@@ -78,52 +135,118 @@
             return None
         return self.client
 
-    def set_shards(self, shards: list[targets_base.GrantedShard]) -> None:
-        """Takes the shards to grant; a change is granted at once."""
-        if shards != self.shards:
-            self.shards = shards
-            self._next_grant_ms = 0
-            self._changed.set()
+    async def after_lost_connection(self) -> None:
+        """Finds out whether the target crashed; see executor.CrashWatch."""
+        if self._ending is None and await self._refuses_connections():
+            self.on_ended("its port refuses connections")
+        if self._ending is not None:
+            await asyncio.wait([self._ending], timeout=PROBE_TIMEOUT_S)
+
+    def on_ended(self, reason: str) -> None:
+        """Takes in that the target has surely ended."""
+        if self.announced is None:
+            return
+        self.announced = None
+        self.grants.on_ended()
+        self.lease.member.holder.set_target("", "", "", True)
+        self._note_end(reason)
+
+    def _is_another(self, announcement: targets_base.Announcement) -> bool:
+        """Whether it comes from a second target while the first may live.
 
-    def _replace_client(self, announcement: targets_base.Announcement) -> None:
+        A target at the same address has taken the former one's place; one at
+        another address proves nothing about the former.
+        """
+        known = self.announced
+        if known is None or known.address == announcement.address:
+            return False
+        return not self.grants.has_surely_ended(clock.now_ms())
+
+    def _connect(self, announcement: targets_base.Announcement) -> None:
         self.event_log.write(
             "target_announced",
             service=announcement.service,
             address=announcement.address,
             target=announcement.incarnation,
         )
-        previous = self.client
-        self.client = http_target.connect(announcement.address)
-        if previous is not None:
-            # Kept in an attribute, as the loop holds tasks only weakly.
-            self._closing = asyncio.create_task(previous.close())
-
-    def _read_clock(self, clock_ms: int) -> None:
-        self.clock_ms = clock_ms
-        self.heard_ms = clock.now_ms()
-
-    async def _wait(self) -> None:
-        delay_ms = self._next_grant_ms - clock.now_ms()
-        self._changed.clear()
-        try:
-            async with asyncio.timeout(max(delay_ms / 1_000, IDLE_S)):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
-
-    async def _grant(self) -> None:
-        left_ms = self.lease.left_ms(self.heard_ms)
-        grant = targets_base.Grant(
-            node=self.lease.record.incarnation,
-            target_incarnation=self.announced.incarnation,
-            valid_until_ms=self.clock_ms + left_ms,
-            shards=self.shards,
+        self._close_client()
+        limits = self.shards.limits(announcement.service)
+        self.slots = target_slots.TargetSlots(limits.slots, limits.connections)
+        self.client = http_target.connect(
+            announcement.address, limits.connections
+        )
+
+    def _tell_holder(self, announcement: targets_base.Announcement) -> None:
+        member = self.lease.member
+        if member is None:
+            return
+        member.holder.set_target(
+            announcement.service,
+            announcement.address,
+            announcement.incarnation,
+            announcement.checks_grants,
+        )
+
+    def _note_end(self, reason: str) -> None:
+        self.event_log.write("target_ended", reason=reason)
+        self.slots.refuse_waiting(
+            errors.Failure(errors.ErrorKind.NO_TARGET, "the target has ended")
         )
-        self._next_grant_ms = clock.now_ms() + GRANT_INTERVAL_MS
+        # At once, before a new target runs anything.
+        crashed = self.shards.on_target_ended()
+        self._ending = asyncio.create_task(self._spread(crashed))
+        self.wake()
+
+    async def _spread(self, crashed: list[records.QuarantineRecord]) -> None:
+        await self.shards.spread(crashed)
+        self._ending = None
+
+    def _close_client(self) -> None:
+        if self.client is None:
+            return
+        # The loop holds tasks only weakly.
+        task = asyncio.create_task(self.client.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+        self.client = None
+
+    async def _grant_if_due(self) -> None:
+        if self.confirmed_target() is None or self.shards is None:
+            return
+        grant = self.grants.next(
+            self.shards.grantable(),
+            self.lease.expires_at_ms(),
+            clock.now_ms(),
+        )
+        if grant is None:
+            return
         try:
             answer = await self.client.grant(grant)
         except targets_base.TargetError as error:
-            self.event_log.write("grant_failed", reason=str(error))
+            await self._on_no_answer(error)
             return
-        if answer.incarnation == self.announced.incarnation:
-            self._read_clock(answer.clock_ms)
+        if self.grants.on_answer(answer, clock.now_ms()):
+            self.on_ended("another incarnation answered")
+        elif not answer.accepted:
+            self.event_log.write("grant_refused")
+
+    async def _on_no_answer(self, error: targets_base.TargetError) -> None:
+        self.grants.on_no_answer()
+        self.event_log.write("grant_failed", reason=str(error))
+        if await self._refuses_connections():
+            self.on_ended("its port refuses connections")
+
+    async def _refuses_connections(self) -> bool:
+        """Whether nothing listens any more where the target was."""
+        if self.announced is None:
+            return False
+        host, _, port = self.announced.address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
--- a/src/auburnrock/shells/wire.py
+++ b/src/auburnrock/shells/wire.py
@@ -11,6 +11,7 @@
 IDEMPOTENCY_KEY = protocol.IDEMPOTENCY_KEY_HEADER
 OWNER = "Auburnrock-Owner"
 CALLER = "Auburnrock-Caller"
+FIRST_TRY = "Auburnrock-First-Try"
 RETRY_AFTER = "Retry-After"
 RETRY_AFTER_MS = "Auburnrock-Retry-After-Ms"
 
--- a/src/auburnrock_standins/fleet.py
+++ b/src/auburnrock_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import pathlib
+import re
 
 import msgspec
 
@@ -11,6 +12,7 @@
 
 ADDRESS = "127.0.0.1"
 PORTS_PER_HOST = 4
+_INCARNATION = re.compile(r"event=started incarnation=(\w+)")
 
 
 class HostSpec(msgspec.Struct, kw_only=True):
@@ -73,6 +75,14 @@
         """host:port for callers."""
         return f"{self.settings.address}:{self.settings.http_port}"
 
+    def peer_address(self) -> str:
+        """host:port for other nodes and for the client library."""
+        return f"{self.settings.address}:{self.settings.peer_port}"
+
+    def output_incarnation(self) -> str:
+        """Incarnation of the daemon, as its log gives it."""
+        return _INCARNATION.findall(self.daemon.output())[0]
+
     def control_address(self) -> str:
         """host:port for the operators' tool."""
         return f"{self.settings.address}:{self.settings.control_port}"
