--- a/src/auburnrock_standins/journal.py
+++ b/src/auburnrock_standins/journal.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+LINE_PREFIX = "event=execution "
+"""Begins each line of a target's output that holds an Execution as JSON."""
+
 
 class Execution(msgspec.Struct, kw_only=True):
     """One execution; times are boot-time milliseconds.
@@ -57,3 +60,17 @@
 
     error: str
     message: str
+
+
+def read_lines(output: str) -> list[Execution]:
+    """The executions that a target printed when they began, in order.
+
+    A last line that a kill cut short is left out.
+    """
+    decoder = msgspec.json.Decoder(Execution)
+    whole, _, _ = output.rpartition("\n")
+    return [
+        decoder.decode(line.removeprefix(LINE_PREFIX))
+        for line in whole.splitlines()
+        if line.startswith(LINE_PREFIX)
+    ]
