Give shards away only after the target's acknowledged release

Cause: nothing decided what an owner may admit, nor how it hands a shard to the next owner, tells its target, or isolates a hot key. Ruled out: handing over once the node's own in-flight count is zero (a target may still run what the node gave up on); counting only acknowledged grants of a silent target (one without an answer may have arrived); giving a new hot key's shard to any node (a node with older settings that owns the key's home accepts it too); a grant without a sequence (one that arrives late undoes a later one at the target). Grant gets `sequence`, AssignmentPage gets `hot_keys`.

--- a/src/auburnrock/engine/assigner.py
+++ b/src/auburnrock/engine/assigner.py
@@ -32,11 +32,6 @@
     ends_ms: int
 
 
-class _Writing(msgspec.Struct):
-    told: list[int]
-    reasons: list[str]
-
-
 class Assigner:
     """Keeps every shard of every keyed service with a living owner.
 
@@ -68,7 +63,7 @@
         self.configuration: records.Configuration | None = None
         self.needs = needs_lib.Needs(view)
         self._writer = record_writer.RecordWriter(PART, incarnation)
-        self._writing: dict[str, _Writing] = {}
+        self._writing: dict[str, page_change.PageChange] = {}
         self._plans: dict[str, dict[int, _Plan]] = {}
         self._ranks: dict[str, int | None] = {}
         self._ranks_version = -1
@@ -149,9 +144,9 @@
             return []
         for shard in self._written_plans(key):
             del self._plans[key][shard]
-        fields = [("key", key), ("changes", "; ".join(writing.reasons))]
+        fields = [("key", key), ("changes", page_change.summary(writing))]
         return [
-            actions.Spread(writing.told),
+            actions.Spread(sorted(writing.told - {records.NO_OWNER})),
             actions.LogEvent("page_written", fields),
         ]
 
@@ -194,10 +189,10 @@
             page=number,
             entries=change.entries,
             moving=change.moving,
+            hot_keys=page.record.hot_keys if page else 0,
             writer=self._writer.next_writer(),
         )
-        told = sorted(change.told - {records.NO_OWNER})
-        self._writing[key] = _Writing(told, change.reasons)
+        self._writing[key] = change
         data = records.encode_page(record)
         revision = page.revision if page else 0
         return [*log, self._writer.swap(key, data, revision)]
--- /dev/null
+++ b/src/auburnrock/engine/hand_over.py
@@ -0,0 +1,107 @@
+"""What an owner changes in an assignment page when it gives shards away."""
+
+import msgspec
+
+from auburnrock import records
+from auburnrock.engine import owner_choice
+from auburnrock.engine import page_change
+from auburnrock.engine import pages as pages_lib
+from auburnrock.engine import view as view_lib
+
+
+class Ready(msgspec.Struct, frozen=True):
+    """A shard to hand over.
+
+    Attributes:
+      shard: number of the shard.
+      to: the next owner wanted; NO_OWNER to have one chosen.
+    """
+
+    shard: int
+    to: int
+
+
+class Owner(msgspec.Struct, frozen=True):
+    """The node that hands over.
+
+    Attributes:
+      incarnation: the node.
+      can_keep: whether it may own the shards again at the next epoch.
+    """
+
+    incarnation: int
+    can_keep: bool
+
+
+def can_own(view: view_lib.View, service: str, incarnation: int) -> bool:
+    """Whether a node may be given shards of a service."""
+    record = view.members.get(incarnation)
+    return (
+        record is not None
+        and record.state == records.NodeState.ACTIVE
+        and record.service == service
+        and bool(record.target_incarnation)
+    )
+
+
+def candidates(
+    view: view_lib.View, service: str, without: int
+) -> list[owner_choice.Candidate]:
+    """The other nodes that may be given shards of a service."""
+    owned = view.pages.owned.get(service, {})
+    return [
+        owner_choice.Candidate(
+            record.incarnation, record.zone, owned.get(record.incarnation, 0)
+        )
+        for record in view.members.serving(service)
+        if record.incarnation != without
+    ]
+
+
+def change_page(
+    page: pages_lib.Page,
+    shards: list[Ready],
+    owner: Owner,
+    view: view_lib.View,
+    chooser: owner_choice.OwnerChooser,
+) -> page_change.PageChange:
+    """Gives shards of a page to their next owners, each at the next epoch.
+
+    The owner keeps a shard whose wanted owner is lost in the meantime. It
+    keeps one that anybody may have only if there is nobody else.
+    """
+    service = page.record.service
+    change = page_change.of_page(page)
+    left = []
+    for ready in shards:
+        if page.entry(ready.shard).owner not in (
+            owner.incarnation,
+            records.NO_OWNER,
+        ):
+            continue
+        to = _wanted(ready, owner, service, view)
+        if to == records.NO_OWNER:
+            left.append(ready.shard)
+        else:
+            page_change.give(change, page, ready.shard, to)
+    others = candidates(view, service, owner.incarnation)
+    if others:
+        owners = chooser.choose(service, left, others)
+    else:
+        owners = [owner.incarnation] * len(left) if owner.can_keep else []
+    for shard, to in zip(left, owners, strict=False):
+        page_change.give(change, page, shard, to)
+    return change
+
+
+def _wanted(
+    ready: Ready, owner: Owner, service: str, view: view_lib.View
+) -> int:
+    """The next owner of a shard; NO_OWNER to have one chosen."""
+    if ready.to == owner.incarnation:
+        return ready.to if owner.can_keep else records.NO_OWNER
+    if ready.to != records.NO_OWNER and can_own(view, service, ready.to):
+        return ready.to
+    if ready.to != records.NO_OWNER and owner.can_keep:
+        return owner.incarnation
+    return records.NO_OWNER
--- a/src/auburnrock/engine/in_force.py
+++ b/src/auburnrock/engine/in_force.py
@@ -33,6 +33,16 @@
             return None
         return self.configuration.services.get(service)
 
+    def keyed(self) -> list[str]:
+        """The services divided by key."""
+        if self.configuration is None:
+            return []
+        return [
+            name
+            for name, settings in self.configuration.services.items()
+            if settings.divided_by_key
+        ]
+
     def on_change(
         self, changed: list[str], replica: replica_lib.Replica
     ) -> list[actions.LogEvent]:
--- a/src/auburnrock/engine/page_change.py
+++ b/src/auburnrock/engine/page_change.py
@@ -13,6 +13,9 @@
 from auburnrock.engine import owner_choice
 from auburnrock.engine import pages as pages_lib
 
+REASONS_LOGGED = 8
+"""Most changes of a page that a line of the log names."""
+
 
 class PlannedMove(msgspec.Struct, frozen=True):
     """A move of a shard to another node, as the placement policy wants it."""
@@ -38,6 +41,13 @@
     reasons: list[str] = msgspec.field(default_factory=list)
 
 
+def summary(change: PageChange) -> str:
+    """What was changed, short enough for a line of the log."""
+    shown = "; ".join(change.reasons[:REASONS_LOGGED])
+    more = len(change.reasons) - REASONS_LOGGED
+    return f"{shown}; and {more} more" if more > 0 else shown
+
+
 def of_page(page: pages_lib.Page) -> PageChange:
     """A change that changes nothing yet."""
     return PageChange(list(page.record.entries), page.moving())
@@ -105,7 +115,6 @@
     for owner, shards in page.by_owner.items():
         if not is_ended_owner(page, members, owner):
             continue
-        change.reasons.append(f"ended {owner:x}")
         successor = members.successor(owner)
         for shard in shards:
             to = change.moving.pop(shard, records.NO_OWNER)
@@ -115,10 +124,10 @@
                 left.append(shard)
                 continue
             by_incarnation[to].owned += 1
-            _give(change, page, shard, to)
+            give(change, page, shard, to)
     owners = chooser.choose(page.record.service, left, candidates)
     for shard, owner in zip(left, owners, strict=True):
-        _give(change, page, shard, owner)
+        give(change, page, shard, owner)
 
 
 def clear_moves(
@@ -182,11 +191,16 @@
     return not members.is_active(to)
 
 
-def _give(
+def give(
     change: PageChange, page: pages_lib.Page, shard: int, owner: int
 ) -> None:
+    """Makes a node the owner of a shard and ends a move of it.
+
+    The epoch grows: only it tells a former owner's grant from the new one's.
+    """
     entry = page.entry(shard)
-    # Only the epoch tells a former owner's grant from the new one's.
     given = records.ShardEntry(owner, entry.epoch + 1)
     change.entries[shard - page.first_shard] = given
+    change.moving.pop(shard, None)
     change.told.add(owner)
+    change.reasons.append(f"{shard} to {owner:x} at {given.epoch}")
--- a/src/auburnrock/engine/pages.py
+++ b/src/auburnrock/engine/pages.py
@@ -93,6 +93,14 @@
             return None
         return page.entries[index]
 
+    def required_hot_keys(self, service: str, shard: int) -> int:
+        """How many hot keys a node must know to serve a shard. O(1)."""
+        pages = self._entries.get(service)
+        if pages is None:
+            return 0
+        page = pages.get(shard // records.SHARDS_PER_PAGE)
+        return page.hot_keys if page else 0
+
     def page(self, service: str, number: int) -> Page | None:
         """A page by its number."""
         return self.by_key.get(records.page_key(service, number))
--- /dev/null
+++ b/src/auburnrock/engine/release.py
@@ -0,0 +1,434 @@
+"""The owner's side of ownership: what it may admit, and how it gives away.
+
+A node serves a shard at an epoch if its own replica's page says so, its lease
+is live and it has not released that shard at that epoch. A stale page is
+harmless: to take a shard from a living owner, the owner itself must have
+released it, and it remembers that; to take one from a dead owner, its lease
+must have ended for good.
+
+release.json is the chart of one release. From `releasing` on, the shard at
+that epoch is never served again by this incarnation, whatever becomes of the
+write that hands it over. `keeping` hands a shard that its target will not let
+go back to this node itself, at the next epoch.
+"""
+
+import abc
+import enum
+
+import msgspec
+
+from auburnrock import records
+from auburnrock.engine import actions
+from auburnrock.engine import chart
+from auburnrock.engine import grants as grants_lib
+from auburnrock.engine import hand_over
+from auburnrock.engine import hot_keys
+from auburnrock.engine import in_force as in_force_lib
+from auburnrock.engine import owner_choice
+from auburnrock.engine import page_change
+from auburnrock.engine import pages as pages_lib
+from auburnrock.engine import record_writer
+from auburnrock.engine import view as view_lib
+from auburnrock.targets import base as targets_base
+
+PART = "release"
+DRAIN_MARGIN_MS = 500
+"""How much longer than a request's deadline its work may take to end."""
+RETRY_PAUSE_MS = 2_000
+"""Time until a move that was given up is tried again."""
+
+_CHART = chart.load("release.json")
+
+
+class Admission(enum.Enum):
+    """Whether a request for a shard may start.
+
+    SERVE: it may.
+    MOVING: it may soon, here or elsewhere; hold it within its deadline.
+    NOT_OWNER: another node owns the shard, or nobody.
+    NO_LEASE: this node's lease is not live.
+    NO_TARGET: the target beside this node has ended or is silent.
+    BEHIND: this node's configuration is too old for the shard.
+    """
+
+    SERVE = "serve"
+    MOVING = "moving"
+    NOT_OWNER = "not_owner"
+    NO_LEASE = "no_lease"
+    NO_TARGET = "no_target"
+    BEHIND = "behind"
+
+
+class WorkCount(abc.ABC):
+    """Counts the work that this node has sent to its target."""
+
+    @abc.abstractmethod
+    def in_flight(self, service: str, shard: int) -> int:
+        """Admitted requests that wait for the target's answer."""
+
+    @abc.abstractmethod
+    def unanswered(self, service: str, shard: int) -> int:
+        """Requests given up without a whole answer of the present target.
+
+        They may run on for any time. They count for a target that does not
+        say by itself what still runs.
+        """
+
+
+class Release(msgspec.Struct):
+    """One release on its way.
+
+    Attributes:
+      shard: the shard.
+      epoch: epoch at which this node owns it.
+      to: the next owner wanted; NO_OWNER to have one chosen.
+      state: state of release.json.
+      since_ms: when the state began.
+    """
+
+    shard: pages_lib.ServiceShard
+    epoch: int
+    to: int
+    state: str
+    since_ms: int
+
+
+class Releases:
+    """The shards of one node, and the releases of some of them.
+
+    The shell calls `on_change` after each change of the view, before it calls
+    `on_store_result` with the result that brought the change, and `tick` some
+    twenty times a second.
+
+    Attributes:
+      incarnation: incarnation of this node.
+      view: the replica and its views, shared with the other parts.
+      configuration: the configuration in force.
+      grants: what is known of the target.
+      chooser: chooses the next owners of shards that have to go.
+      work: counts work under way.
+      releases: releases on their way, by service and shard.
+      released: the highest epoch that this node released, of each shard.
+      leaving: whether this node gives all its shards away.
+    """
+
+    def __init__(
+        self,
+        incarnation: int,
+        view: view_lib.View,
+        configuration: in_force_lib.InForce,
+        grants: grants_lib.Grants,
+        chooser: owner_choice.OwnerChooser,
+        work: WorkCount,
+    ):
+        self.incarnation = incarnation
+        self.view = view
+        self.configuration = configuration
+        self.grants = grants
+        self.chooser = chooser
+        self.work = work
+        self.releases: dict[str, dict[int, Release]] = {}
+        self.released: dict[str, dict[int, int]] = {}
+        self.leaving = False
+        self._owned: list[pages_lib.ServiceShard] = []
+        self._pause_until_ms: dict[pages_lib.ServiceShard, int] = {}
+        self._writer = record_writer.RecordWriter(PART, incarnation)
+        self._written: dict[str, page_change.PageChange] = {}
+        self._hot_keys = hot_keys.HotKeys(incarnation, view, configuration)
+        self._note_owned()
+
+    def admission(
+        self, service: str, shard: int, lease_is_live: bool
+    ) -> Admission:
+        """Whether a request for a shard may start now. O(1)."""
+        if not lease_is_live:
+            return Admission.NO_LEASE
+        entry = self.view.pages.owner(service, shard)
+        if entry is None or entry.owner != self.incarnation:
+            return Admission.NOT_OWNER
+        if shard in self.releases.get(service, ()):
+            return Admission.MOVING
+        if entry.epoch <= self.released.get(service, {}).get(shard, 0):
+            return Admission.NOT_OWNER
+        if not self._hot_keys.are_known(service, shard):
+            return Admission.BEHIND
+        target = self.grants.target
+        if target is None or target.service != service:
+            return Admission.NO_TARGET
+        return Admission.SERVE
+
+    def may_admit(self, service: str, shard: int, lease_is_live: bool) -> bool:
+        """Whether a request for a shard may start now. O(1)."""
+        admission = self.admission(service, shard, lease_is_live)
+        return admission == Admission.SERVE
+
+    def grantable(self) -> list[targets_base.GrantedShard]:
+        """The shards that the target may serve, in order; for `Grants.next`.
+
+        A shard that is draining is among them, as its work goes on.
+        """
+        target = self.grants.target
+        if target is None:
+            return []
+        return [
+            targets_base.GrantedShard(each.shard, entry.epoch)
+            for each, entry in self._entries()
+            if each.service == target.service
+            and entry.epoch > self._released_epoch(each)
+            and self._hot_keys.are_known(each.service, each.shard)
+        ]
+
+    def on_change(self, changed: list[str], now_ms: int) -> None:
+        """Takes in keys of the replica that changed."""
+        if any(key.startswith(records.PAGES_PREFIX) for key in changed):
+            self._note_owned()
+
+    def leave(self) -> None:
+        """Begins to give all shards away, for a planned stop."""
+        self.leaving = True
+
+    def stay(self) -> None:
+        """Ends giving shards away."""
+        self.leaving = False
+
+    def is_empty(self) -> bool:
+        """Whether this node owns nothing any more."""
+        return not self._owned
+
+    def tick(self, now_ms: int) -> list[actions.Action]:
+        """Advances the releases and hands over what is released."""
+        self._begin(now_ms)
+        asked: list[actions.Action] = []
+        for releases in list(self.releases.values()):
+            for release in list(releases.values()):
+                asked += self._advance(release, now_ms)
+        return asked + self._write(now_ms)
+
+    def on_store_result(
+        self, result: actions.StoreResult, now_ms: int
+    ) -> list[actions.Action]:
+        """Takes in the result of a swap; ignores other parts' results."""
+        key = self._writer.on_result(result, now_ms)
+        if key is None:
+            return []
+        written = self._written.pop(key)
+        if result.outcome != actions.StoreOutcome.DONE:
+            return []
+        told = sorted(written.told - {self.incarnation})
+        fields = [("key", key), ("changes", page_change.summary(written))]
+        return [
+            actions.Spread(told),
+            actions.LogEvent("shards_handed_over", fields),
+        ]
+
+    def _note_owned(self) -> None:
+        self._owned = self.view.pages.shards_of(self.incarnation)
+        self._hot_keys.note_owned(self._owned)
+
+    def _entries(
+        self,
+    ) -> list[tuple[pages_lib.ServiceShard, records.ShardEntry]]:
+        """The shards that this node owns and their entries."""
+        owner = self.view.pages.owner
+        return [(each, owner(each.service, each.shard)) for each in self._owned]
+
+    def _released_epoch(self, shard: pages_lib.ServiceShard) -> int:
+        return self.released.get(shard.service, {}).get(shard.shard, 0)
+
+    def _release_of(self, shard: pages_lib.ServiceShard) -> Release | None:
+        return self.releases.get(shard.service, {}).get(shard.shard)
+
+    def _target_ended(self, service: str, now_ms: int) -> bool:
+        """Whether no target can work under a grant of this node."""
+        target = self.grants.target
+        if target is None or target.service != service:
+            return True
+        if not self.grants.is_silent(now_ms):
+            return False
+        return self.grants.has_surely_ended(now_ms)
+
+    def _begin(self, now_ms: int) -> None:
+        for shard, entry in self._entries():
+            if self._release_of(shard) is not None:
+                continue
+            if entry.epoch <= self._released_epoch(shard):
+                continue
+            if now_ms < self._pause_until_ms.get(shard, 0):
+                continue
+            to = self._wanted_owner(shard, now_ms)
+            if to is not None:
+                self._start(shard, entry.epoch, to, now_ms)
+
+    def _wanted_owner(
+        self, shard: pages_lib.ServiceShard, now_ms: int
+    ) -> int | None:
+        """Where a shard has to go; NO_OWNER if anywhere, None if nowhere."""
+        if self.leaving or self._target_ended(shard.service, now_ms):
+            if hand_over.candidates(self.view, shard.service, self.incarnation):
+                return records.NO_OWNER
+            return None
+        to = self._move_of(shard)
+        if to is not None and hand_over.can_own(self.view, shard.service, to):
+            return to
+        if self._hot_keys.needs_rotation(shard):
+            return self.incarnation
+        return None
+
+    def _move_of(self, shard: pages_lib.ServiceShard) -> int | None:
+        page = self.view.pages.page_of(shard.service, shard.shard)
+        return page.record.moving.get(shard.shard)
+
+    def _start(
+        self, shard: pages_lib.ServiceShard, epoch: int, to: int, now_ms: int
+    ) -> None:
+        release = Release(shard, epoch, to, _CHART.initial, now_ms)
+        self.releases.setdefault(shard.service, {})[shard.shard] = release
+        ended = self._target_ended(shard.service, now_ms)
+        self._apply(release, "target_ended" if ended else "move", now_ms)
+
+    def _advance(self, release: Release, now_ms: int) -> list[actions.Action]:
+        state = release.state
+        event = self._event(release, now_ms)
+        if event is None or not _CHART.accepts(state, event):
+            return []
+        self._apply(release, event, now_ms)
+        if event != "overdue":
+            return []
+        fields = [
+            ("service", release.shard.service),
+            ("shard", str(release.shard.shard)),
+            ("state", state),
+        ]
+        return [actions.LogEvent("release_overdue", fields)]
+
+    def _event(self, release: Release, now_ms: int) -> str | None:
+        """What has happened to a release, the most decisive first."""
+        service, shard = release.shard.service, release.shard.shard
+        entry = self.view.pages.owner(service, shard)
+        if entry != records.ShardEntry(self.incarnation, release.epoch):
+            return "lost"
+        if self._target_ended(service, now_ms):
+            return "target_ended"
+        if release.state == "draining":
+            return self._draining_event(release, now_ms)
+        if self._is_let_go(service, shard):
+            return "confirmed"
+        if now_ms >= release.since_ms + self._patience_ms(service):
+            return "overdue"
+        return None
+
+    def _draining_event(self, release: Release, now_ms: int) -> str | None:
+        service, shard = release.shard.service, release.shard.shard
+        wanted = self._wanted_owner(release.shard, now_ms)
+        if wanted is None:
+            return "cancel"
+        release.to = wanted
+        if not self.work.in_flight(service, shard):
+            return "idle"
+        if now_ms >= release.since_ms + self._patience_ms(service):
+            return "overdue"
+        return None
+
+    def _is_let_go(self, service: str, shard: int) -> bool:
+        """Whether the target surely does nothing for a shard any more."""
+        if self.grants.target.checks_grants:
+            return self.grants.is_released(shard)
+        waiting = self.work.in_flight(service, shard)
+        return not waiting and not self.work.unanswered(service, shard)
+
+    def _patience_ms(self, service: str) -> int:
+        settings = self.configuration.settings(service)
+        timeout_ms = settings.timeout_ms if settings else 0
+        return timeout_ms + DRAIN_MARGIN_MS
+
+    def _apply(self, release: Release, event: str, now_ms: int) -> None:
+        transition = _CHART.next(release.state, event)
+        release.state = transition.to
+        release.since_ms = now_ms
+        service, shard = release.shard.service, release.shard.shard
+        if transition.do == "remember":
+            released = self.released.setdefault(service, {})
+            assert released.get(shard, 0) < release.epoch, "released twice"
+            released[shard] = release.epoch
+        if transition.to == "keeping":
+            self._pause_until_ms[release.shard] = now_ms + RETRY_PAUSE_MS
+        if _CHART.is_final(release.state):
+            del self.releases[service][shard]
+
+    def _write(self, now_ms: int) -> list[actions.Action]:
+        """Hands over what is released, one compare-and-swap for each page."""
+        ready: dict[str, list[hand_over.Ready]] = {}
+        for releases in self.releases.values():
+            for release in releases.values():
+                item = self._ready(release)
+                if item is None:
+                    continue
+                page = self.view.pages.page_of(
+                    release.shard.service, release.shard.shard
+                )
+                ready.setdefault(page.key, []).append(item)
+        for key, shards in self._hot_keys.claims().items():
+            ready.setdefault(key, [])
+            ready[key] += [hand_over.Ready(n, self.incarnation) for n in shards]
+        asked: list[actions.Action] = []
+        for key, items in sorted(ready.items()):
+            if self._writer.may_write(key, now_ms):
+                asked += self._write_page(key, items)
+        return asked
+
+    def _ready(self, release: Release) -> hand_over.Ready | None:
+        number = release.shard.shard
+        if release.state == "released":
+            return hand_over.Ready(number, release.to)
+        if release.state == "keeping":
+            return hand_over.Ready(number, self.incarnation)
+        return None
+
+    def _write_page(
+        self, key: str, items: list[hand_over.Ready]
+    ) -> list[actions.Action]:
+        page = self.view.pages.by_key[key]
+        if self.view.pages.is_nonsense(key):
+            return []
+        service = page.record.service
+        owner = hand_over.Owner(self.incarnation, self._can_keep(service))
+        change = hand_over.change_page(
+            page, items, owner, self.view, self.chooser
+        )
+        if not change.reasons:
+            return []
+        record = msgspec.structs.replace(
+            page.record,
+            entries=change.entries,
+            moving=change.moving,
+            hot_keys=self._hot_keys_mark(page, items),
+            writer=self._writer.next_writer(),
+        )
+        self._written[key] = change
+        data = records.encode_page(record)
+        return [self._writer.swap(key, data, page.revision)]
+
+    def _hot_keys_mark(
+        self, page: pages_lib.Page, items: list[hand_over.Ready]
+    ) -> int:
+        service = page.record.service
+        known = self._hot_keys.known(service)
+        kept = [
+            pages_lib.ServiceShard(service, item.shard)
+            for item in items
+            if item.to == self.incarnation
+        ]
+        if any(self._hot_keys.needs_rotation(home) for home in kept):
+            return max(page.record.hot_keys, known)
+        return page.record.hot_keys
+
+    def _can_keep(self, service: str) -> bool:
+        """Whether this node may take a shard back at the next epoch."""
+        record = self.view.members.get(self.incarnation)
+        if record is None or record.state not in (
+            records.NodeState.ACTIVE,
+            records.NodeState.DRAINING,
+        ):
+            return False
+        target = self.grants.target
+        return target is not None and target.service == service
--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -105,6 +105,8 @@
       entries: one for each shard, in order.
       moving: shards that their owner was told to release, and the incarnation
         of the next owner.
+      hot_keys: a node serves these shards only if its configuration names at
+        least so many hot keys of the service.
       writer: identifies the write, so that a lost answer can be resolved.
     """
 
@@ -112,6 +114,7 @@
     page: int
     entries: list[ShardEntry]
     moving: dict[int, int] = {}
+    hot_keys: int = 0
     writer: str = ""
 
 
--- a/src/auburnrock/targets/base.py
+++ b/src/auburnrock/targets/base.py
@@ -43,6 +43,9 @@
 
     Attributes:
       node: incarnation of the granting node.
+      sequence: grows with each grant of a node. A target refuses a grant of a
+        lower node, or of the same node and not a higher sequence, than one it
+        accepted: a grant that arrives late undoes no later one.
       target_incarnation: incarnation of the target that is meant.
       valid_until_ms: end of the grant on the target's monotonic clock.
       shards: every granted shard; what is not named is released.
@@ -52,6 +55,7 @@
     target_incarnation: str
     valid_until_ms: int
     shards: list[GrantedShard]
+    sequence: int = 0
 
 
 class GrantAnswer(msgspec.Struct, kw_only=True):
