--- a/tests/cover/test_assignment_fuzz.py
+++ b/tests/cover/test_assignment_fuzz.py
@@ -94,9 +94,16 @@
         else:
             self.world.crash_target(node)
 
-    @stateful.rule(pick=PICK, key=st.sampled_from(world_lib.KEYS))
-    def request(self, pick, key):
-        self.world.request(self.node(pick), key)
+    @stateful.rule(key=st.sampled_from(world_lib.KEYS))
+    def request(self, key):
+        self.world.request_anywhere(key)
+
+    @stateful.rule(key=st.sampled_from(world_lib.KEYS), to=PICK)
+    def move_a_busy_key(self, key, to):
+        self.world.request_anywhere(key)
+        owner = self.world.owner(key)
+        if owner is not None:
+            self.world.plan(owner, owner.shard_of(key), self.node(to))
 
     @stateful.rule(pick=PICK)
     def end_work(self, pick):
@@ -119,5 +126,5 @@
 
 TestAssignment = AssignmentMachine.TestCase
 TestAssignment.settings = hypothesis.settings(
-    max_examples=100, stateful_step_count=40, deadline=None
+    max_examples=150, stateful_step_count=40, deadline=None
 )
