--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -129,9 +129,10 @@
     assert 0 < world.store.calls - calls <= 4 * 2 * longest
 
 
-def test_only_a_witness_counts_as_sealed():
+def sealing_of_a_sealed_record():
+    """A sealing that is carried on, and the node's record."""
     world = ownership.World()
-    owner = world.settle()
+    world.settle()
     value = world.store.nodes()[0]
     record = records.decode_node(value.data)
     record.state = records.NodeState.SEALING
@@ -139,13 +140,32 @@
     value = msgspec.structs.replace(value, data=data)
     seal = sealing.Sealing("s", value, timing.Timing())
     seal.start(0)
+    return seal, record
+
+
+def answer_of(record, incarnation, remaining_ms=0):
+    return messages.SealAnswer(
+        incarnation, record.incarnation, 1, remaining_ms, False
+    )
+
+
+def test_only_a_witness_counts_as_sealed():
+    seal, record = sealing_of_a_sealed_record()
     for incarnation in (90, 91, record.witnesses[0].incarnation):
-        seal.on_seal_answer(
-            0, messages.SealAnswer(incarnation, owner.incarnation, 1, 0, False)
-        )
+        seal.on_seal_answer(0, answer_of(record, incarnation))
     assert seal.state == "sealing"
 
 
+def test_a_sealer_waits_for_the_longest_remainder_of_a_majority():
+    seal, record = sealing_of_a_sealed_record()
+    first, second, third = (w.incarnation for w in record.witnesses)
+    seal.on_seal_answer(0, answer_of(record, first, 0))
+    seal.on_seal_answer(0, answer_of(record, second, 900))
+    assert seal.tick(800) == []
+    seal.on_seal_answer(800, answer_of(record, third, 0))
+    assert seal.tick(802)[0].data is not None
+
+
 def test_an_owner_that_leaves_is_replaced_without_a_wait():
     world = ownership.World()
     owner = world.settle()
@@ -293,11 +313,11 @@
     assert "below the term" in timing.Timing(silence_limit_ms=990).check()[0]
 
 
-def node(index, zone, state=records.NodeState.ACTIVE):
+def node(index, zone, state=records.NodeState.ACTIVE, region="r"):
     return records.NodeRecord(
         name=f"h{index}",
         incarnation=index + 1,
-        region="r",
+        region=region,
         zone=f"z{zone}",
         address="127.0.0.1",
         peer_port=1,
@@ -329,6 +349,18 @@
     assert witness_choice.choose(holder, nodes) == choice
 
 
+def test_a_region_of_two_zones_keeps_a_majority_when_cut_off():
+    regions = ["a", "a", "b", "b", "b", "c", "c", "c"]
+    nodes = [node(i, i % 8, region=regions[i % 8]) for i in range(80)]
+    by_incarnation = {n.incarnation: n for n in nodes}
+    for holder in nodes:
+        choice = witness_choice.choose(holder, nodes)
+        chosen = [by_incarnation[w.incarnation] for w in choice.witnesses]
+        own = [n for n in chosen if n.region == holder.region]
+        assert len(own) >= 2
+        assert choice.gaps == []
+
+
 def test_the_work_of_witnesses_is_spread_over_the_fleet():
     nodes = [node(i, i % 6) for i in range(300)]
     work = collections.Counter(
