Keep a node's preferred witnesses in a module of their own

Change: which witnesses a node would have, and whom it avoids, moves to preferred_witnesses; the holder keeps when to change its record. Conclusion: no change of behaviour.

--- a/src/auburnrock/engine/lease.py
+++ b/src/auburnrock/engine/lease.py
@@ -18,15 +18,13 @@
 from auburnrock.engine import backoff
 from auburnrock.engine import chart
 from auburnrock.engine import keys
+from auburnrock.engine import preferred_witnesses
 from auburnrock.engine import renewals as renewals_module
 from auburnrock.engine import store_write
 from auburnrock.engine import timing as timing_module
 from auburnrock.engine import witness_choice
 from auburnrock.platform import base as platform_base
 
-AVOIDED_MS = 10_000
-"""How long a silent witness is not chosen again."""
-
 _CHART = chart.load("lease.json")
 _LEASED = frozenset({"active", "changing"})
 _WRITABLE = frozenset({"joining", "active"})
@@ -48,16 +46,14 @@
       state: state of the chart in lease.json.
       leaving: the node has given up its lease itself.
       watermark: revision of this node's replica; set by its owner.
-      gaps: what the present choice of witnesses cannot stand.
+      preferred: the witnesses that it would have.
     """
 
     __slots__ = (
-        "avoided_until_ms",
         "backoff",
-        "gaps",
         "leaving",
         "next_change_ms",
-        "nodes",
+        "preferred",
         "record",
         "renewals",
         "retry_at_ms",
@@ -97,10 +93,8 @@
         self.state = _CHART.initial
         self.leaving = False
         self.watermark = 0
-        self.gaps: list[witness_choice.Gap] = []
-        self.nodes = nodes
+        self.preferred = preferred_witnesses.PreferredWitnesses(nodes)
         self.renewals = renewals_module.Renewals(timing)
-        self.avoided_until_ms: dict[int, int] = {}
         self.next_change_ms = now_ms
         self.retry_at_ms = now_ms
         self.backoff = backoff.Backoff(
@@ -114,6 +108,11 @@
         """Whether this incarnation can never be live again."""
         return self.leaving or _CHART.is_final(self.state)
 
+    @property
+    def gaps(self) -> list[witness_choice.Gap]:
+        """What the present choice of witnesses cannot stand."""
+        return self.preferred.gaps
+
     def live(self, now_ms: int) -> bool:
         """Whether the lease is valid at this moment."""
         return now_ms < self.expires_at_ms()
@@ -153,7 +152,7 @@
 
     def set_nodes(self, nodes: list[records.NodeRecord]) -> None:
         """Takes the known records whenever one of them has changed."""
-        self.nodes = nodes
+        self.preferred.nodes = nodes
         self._choose_witnesses()
 
     def set_target(
@@ -197,7 +196,6 @@
             return []
         asked = self._renew(now_ms)
         self._avoid_silent_witnesses(now_ms)
-        self._readmit_avoided(now_ms)
         if self.write is not None:
             return asked + self.write.tick(now_ms)
         return asked + self._write_if_needed(now_ms)
@@ -279,37 +277,21 @@
 
     def _avoid_silent_witnesses(self, now_ms: int) -> None:
         for witness in self.renewals.silent(now_ms):
-            if witness not in self.avoided_until_ms:
+            if witness not in self.preferred.avoided_until_ms:
                 self._avoid(now_ms, witness)
+        if self.preferred.readmit(now_ms):
+            self._choose_witnesses()
 
     def _avoid(self, now_ms: int, witness: int) -> None:
-        self.avoided_until_ms[witness] = now_ms + AVOIDED_MS
+        self.preferred.avoid(now_ms, witness)
         self._choose_witnesses()
 
-    def _readmit_avoided(self, now_ms: int) -> None:
-        over = [
-            witness
-            for witness, until_ms in self.avoided_until_ms.items()
-            if until_ms <= now_ms
-        ]
-        for witness in over:
-            del self.avoided_until_ms[witness]
-        if over:
-            self._choose_witnesses()
-
     def _choose_witnesses(self) -> None:
-        choice = witness_choice.choose(
-            self.record, self.nodes, set(self.avoided_until_ms)
-        )
-        self.gaps = choice.gaps
-        known = {witness.incarnation for witness in self.record.witnesses}
-        chosen = {witness.incarnation for witness in choice.witnesses}
-        if chosen == known:
-            self.wanted.witnesses = self.record.witnesses
-            return
         was_pending = self.wanted.witnesses != self.record.witnesses
-        self.wanted.witnesses = choice.witnesses
-        if not self._majority_is_fit():
+        self.wanted.witnesses = self.preferred.choose(self.record)
+        if self.wanted.witnesses == self.record.witnesses:
+            return
+        if not self.preferred.majority_is_fit(self.record):
             self.next_change_ms = self.ticked_ms
         elif not was_pending:
             # Nothing is urgent: when a zone is lost, the nodes that miss one
@@ -319,22 +301,6 @@
             due_ms = self.ticked_ms + delay_ms
             self.next_change_ms = max(self.next_change_ms, due_ms)
 
-    def _majority_is_fit(self) -> bool:
-        """Whether enough witnesses answer and are not about to leave."""
-        active = {
-            node.incarnation
-            for node in self.nodes
-            if node.state is records.NodeState.ACTIVE
-        }
-        fit = [
-            witness
-            for witness in self.record.witnesses
-            if witness.incarnation in active
-            and witness.incarnation not in self.avoided_until_ms
-        ]
-        needed = timing_module.majority_of(len(self.record.witnesses))
-        return len(fit) >= needed
-
     def _write_if_needed(self, now_ms: int) -> list[actions.Action]:
         if self.state not in _WRITABLE or now_ms < self.retry_at_ms:
             return []
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -7,6 +7,7 @@
 
 from auburnrock import messages
 from auburnrock import records
+from auburnrock.engine import renewals
 from auburnrock.engine import sealing
 from auburnrock.engine import timing
 from auburnrock.engine import witness
@@ -252,6 +253,16 @@
     assert owner.member.holder.ended
 
 
+def test_answers_out_of_order_shorten_no_lease():
+    asked = renewals.Renewals(timing.Timing())
+    (first,) = asked.due(0, {7}).values()
+    (second,) = asked.due(300, {7}).values()
+    for sequence in (second, first):
+        answer = messages.RenewAnswer(7, 1, sequence, True, 0)
+        asked.on_answer(400, answer)
+    assert asked.expires_at_ms([records.Witness("w", 7)]) == 300 + 980
+
+
 def test_a_seal_meant_for_a_later_process_is_not_answered():
     earlier = witness.Witness("a", 5, timing.Timing(), 0)
     assert earlier.on_seal(0, messages.Seal(1, 6, 1)) is None
