List the members of a status by name

Cause: in a trial with ten daemons the members stood in the order of their incarnations, which says nothing to people. Ruled out: sorting at the node (scripts don't need it). Change: lines for people are sorted by name. Conclusion: the list can be read.

--- a/src/auburnrock/ctl/node_lines.py
+++ b/src/auburnrock/ctl/node_lines.py
@@ -40,7 +40,7 @@
             member.service or "-",
             str(member.shards_owned),
         ]
-        for member in view.members
+        for member in sorted(view.members, key=lambda member: member.name)
     ]
     return [*lines, "", *report.table(rows)]
 
@@ -75,7 +75,7 @@
         return [*row, "-", "-", "-", "-", "-"]
     owned = [
         member.shards_owned
-        for member in view.members
+        for member in sorted(view.members, key=lambda member: member.name)
         if member.incarnation == node.incarnation
     ]
     target = view.target
