Use the stand-in's server module in the tests of the tool

Cause: the server of the platform stand-in moved to a module of its own, so the tool's tests could not start it. Ruled out: the switches of the stand-in in their place (they cannot hold one write back until told). Change: the builder imports platform_server.

--- a/tests/common/platforms.py
+++ b/tests/common/platforms.py
@@ -6,7 +6,8 @@
 
 from auburnrock import records
 from auburnrock.platform import http_messages
-from auburnrock_standins import platform
+from auburnrock_standins import platform_server
+from auburnrock_standins import serving
 from auburnrock_standins import store as store_module
 
 
@@ -39,7 +40,7 @@
 
     def __init__(self):
         self.store = store_module.Store()
-        self.server = platform.PlatformServer(self.store)
+        self.server = platform_server.PlatformServer(self.store)
         self.address = ""
         self.swap_faults: list[Fault | None] = []
         self.fault: Fault | None = None
@@ -48,7 +49,7 @@
 
     async def __aenter__(self) -> "RunningPlatform":
         application = web.Application(
-            client_max_size=platform.MAX_BODY_BYTES,
+            client_max_size=platform_server.MAX_BODY_BYTES,
             middlewares=[self.faults()],
         )
         application.add_routes(self.server.routes())
@@ -80,9 +81,7 @@
                 await handler(request)
                 return web.Response(body=b'{"value": 5, "revision": "x"}')
             case Fault.LAND_LATE:
-                call = await platform.serving.read(
-                    request, http_messages.SwapCall
-                )
+                call = await serving.read(request, http_messages.SwapCall)
                 self.late.append(call)
                 return web.Response(status=500)
         return await handler(request)
