Send the node's metrics and count what control costs

Cause: the daemon did not start the metrics task, and nothing counted the bytes that a node spends on control. Change: MetricsTask runs in the daemon; gauges for control bytes, headers included, and messages. Conclusion: the control budget can be measured on the product itself.

--- a/src/auburnrock/programs/auburnrockd.py
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -17,6 +17,8 @@
 from auburnrock.platform import http as http_platform
 from auburnrock.shells import control_source
 from auburnrock.shells import logs
+from auburnrock.shells import metrics as metrics_lib
+from auburnrock.shells import metrics_task
 from auburnrock.shells import node as node_lib
 from auburnrock.shells import planned_stop
 from auburnrock.shells import settings as settings_lib
@@ -55,8 +57,16 @@
     control = control_server.make_server(
         settings.address, settings.control_port, source, event_log
     )
+    metrics = metrics_task.MetricsTask(
+        source,
+        node.router,
+        event_log,
+        metrics_lib.connect(settings.statsd, settings.name),
+        node.runner.traffic,
+    )
+    services = [*node.services, control, metrics]
     async with aiomisc.entrypoint(
-        *node.services, control, loop=loop, log_config=False, catch_signals=()
+        *services, loop=loop, log_config=False, catch_signals=()
     ):
         await stopping.wait()
         await planned_stop.PlannedStop(node).run()
--- a/src/auburnrock/shells/action_runner.py
+++ b/src/auburnrock/shells/action_runner.py
@@ -6,6 +6,7 @@
 from auburnrock import messages
 from auburnrock.engine import actions
 from auburnrock.platform import base as platform_base
+from auburnrock.shells import control_traffic
 from auburnrock.shells import datagrams
 from auburnrock.shells import logs
 from auburnrock.shells import store_calls
@@ -29,7 +30,8 @@
       event_log: where events go.
       socket: the datagram socket; None until it is open.
       incarnation: this node's incarnation.
-      store_calls: calls made to the store, for the metrics.
+      store_calls: writes and reads asked of the store so far.
+      traffic: counts what this node spends on control.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         self.socket: datagrams.DatagramSocket | None = None
         self.incarnation = incarnation
         self.store_calls = 0
+        self.traffic = control_traffic.ControlTraffic()
         self._tasks: set[asyncio.Task] = set()
 
     def run(self, part: Part, asked: list[actions.Action]) -> None:
--- a/src/auburnrock/shells/datagrams.py
+++ b/src/auburnrock/shells/datagrams.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from auburnrock import messages
+from auburnrock.shells import control_traffic
 
 
 class DatagramHandler(abc.ABC):
@@ -28,15 +29,17 @@
     Attributes:
       handler: receives messages.
       transport: the socket once it is open.
-      sent_bytes: payload bytes sent.
-      received_bytes: payload bytes received.
+      traffic: counts what is sent and received.
     """
 
-    def __init__(self, handler: DatagramHandler):
+    def __init__(
+        self,
+        handler: DatagramHandler,
+        traffic: control_traffic.ControlTraffic,
+    ):
         self.handler = handler
         self.transport: asyncio.DatagramTransport | None = None
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.traffic = traffic
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by asyncio when the socket is open."""
@@ -44,7 +47,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Called by asyncio with one datagram."""
-        self.received_bytes += len(data)
+        self.traffic.datagram_received(len(data))
         try:
             message = messages.decode_datagram(data)
         except msgspec.DecodeError as error:
@@ -62,16 +65,19 @@
         if self.transport is None or self.transport.is_closing():
             return
         data = messages.encode(message)
-        self.sent_bytes += len(data)
+        self.traffic.datagram_sent(len(data))
         self.transport.sendto(data, receiver)
 
 
 async def open_socket(
-    handler: DatagramHandler, address: str, port: int
+    handler: DatagramHandler,
+    traffic: control_traffic.ControlTraffic,
+    address: str,
+    port: int,
 ) -> DatagramSocket:
     """Opens the socket on an address of this host."""
     loop = asyncio.get_running_loop()
     _, protocol = await loop.create_datagram_endpoint(
-        lambda: DatagramSocket(handler), local_addr=(address, port)
+        lambda: DatagramSocket(handler, traffic), local_addr=(address, port)
     )
     return protocol
--- a/src/auburnrock/shells/frames.py
+++ b/src/auburnrock/shells/frames.py
@@ -12,6 +12,7 @@
 
 from auburnrock import errors
 from auburnrock import messages
+from auburnrock.shells import control_traffic
 
 LENGTH = struct.Struct(">I")
 LARGEST_FRAME_BYTES = 16_000_000
@@ -43,7 +44,13 @@
 
 
 class FrameHandler(abc.ABC):
-    """Receives the frames that are no answers to own exchanges."""
+    """Receives the frames that are no answers to own exchanges.
+
+    Attributes:
+      traffic: counts the frames of control; a node's handlers share one.
+    """
+
+    traffic = control_traffic.ControlTraffic()
 
     @abc.abstractmethod
     def on_frame(
@@ -104,6 +111,7 @@
             while (frame_end := self._frame_end(offset)) is not None:
                 start = offset + LENGTH.size
                 frame = messages.decode_frame(self._received[start:frame_end])
+                self.handler.traffic.frame_received(frame, frame_end - offset)
                 offset = frame_end
                 self._dispatch(frame)
         except (msgspec.DecodeError, ValueError) as error:
@@ -119,6 +127,7 @@
         if not self._outgoing:
             self.loop.call_soon(self._flush)
         data = messages.encode(frame)
+        self.handler.traffic.frame_sent(frame, LENGTH.size + len(data))
         self._outgoing.append(LENGTH.pack(len(data)))
         self._outgoing.append(data)
 
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -73,7 +73,10 @@
         )
         self.sync.listeners.append(self)
         self.runner.socket = await datagrams.open_socket(
-            self, self.record.address, self.record.peer_port
+            self,
+            self.runner.traffic,
+            self.record.address,
+            self.record.peer_port,
         )
         self.start_event.set()
         while True:
--- a/src/auburnrock/shells/metrics_task.py
+++ b/src/auburnrock/shells/metrics_task.py
@@ -8,6 +8,7 @@
 from auburnrock import records
 from auburnrock.control import server as control_server
 from auburnrock.control import views
+from auburnrock.shells import control_traffic
 from auburnrock.shells import logs
 from auburnrock.shells import metrics as metrics_lib
 from auburnrock.shells import request_tally
@@ -24,6 +25,7 @@
       router: counts the callers' requests.
       event_log: counts the events.
       metrics: where metrics go.
+      traffic: counts what the node spends on control.
       sent_events: counts of events that were sent already.
     """
 
@@ -33,12 +35,14 @@
         router: request_tally.CountingRouter,
         event_log: logs.EventLog,
         metrics: metrics_lib.Metrics,
+        traffic: control_traffic.ControlTraffic,
     ):
         super().__init__()
         self.source = source
         self.router = router
         self.event_log = event_log
         self.metrics = metrics
+        self.traffic = traffic
         self.sent_events: collections.Counter[str] = collections.Counter()
 
     async def start(self) -> None:
@@ -94,6 +98,9 @@
             "members.active": len(active),
             "not_tolerated": len(status.not_tolerated),
             "target.running": target.running if target else 0,
+            "control.sent_bytes": self.traffic.sent_bytes,
+            "control.received_bytes": self.traffic.received_bytes,
+            "control.messages": self.traffic.messages,
         }
         for name, value in gauges.items():
             self.metrics.gauge(name, value)
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -16,9 +16,9 @@
 from auburnrock.shells import front
 from auburnrock.shells import lease_task
 from auburnrock.shells import logs
-from auburnrock.shells import metrics as metrics_lib
 from auburnrock.shells import peer_server
 from auburnrock.shells import quarantine_task
+from auburnrock.shells import request_tally
 from auburnrock.shells import results_task
 from auburnrock.shells import router
 from auburnrock.shells import settings as settings_lib
@@ -112,7 +112,6 @@
             return
         self.next_ms = now_ms + UPKEEP_INTERVAL_MS
         self.node.entry_router.forget_ended()
-        self.node.report_metrics()
 
 
 class Node:
@@ -121,12 +120,12 @@
     Attributes:
       settings: its settings.
       event_log: its log and time line.
-      metrics: where its metrics go.
       incarnation: number of this start.
       sync: owns the replica.
       lease: holds the lease.
       target: knows the target beside it.
       assignment: decides what it serves.
+      router: routes and counts the callers' requests.
       front: serves callers.
       services: the tasks to start, in order.
     """
@@ -141,7 +140,6 @@
         self.settings = settings
         self.platform = platform
         self.event_log = event_log
-        self.metrics = metrics_lib.connect(settings.statsd, settings.name)
         self.incarnation = new_incarnation()
         self.peers = frames.PeerConnections(_NoRequests(event_log))
         self.sync = store_sync.StoreSync(
@@ -192,16 +190,19 @@
         )
         self.entry_router.table = self.sync
         node_router = NodeRouter(self.entry_router, self.assignment)
+        self.router = request_tally.CountingRouter(node_router)
         self.front = front.Front(
             settings.address,
             settings.http_port,
-            node_router,
+            self.router,
             self.target,
             settings.largest_body_bytes,
         )
         handler = peer_server.PeerHandler(
             self.executor, self.sync, self.results, event_log
         )
+        handler.traffic = self.runner.traffic
+        self.peers.handler.traffic = self.runner.traffic
         self.peer_server = peer_server.PeerServer(
             settings.address, settings.peer_port, handler, self.peers
         )
@@ -226,21 +227,6 @@
             self.lease.member.holder.drain()
         self.assignment.releases.leave()
 
-    def report_metrics(self) -> None:
-        """Sends the gauges; docs/operators/metrics.md lists them."""
-        metrics = self.metrics
-        view = self.sync.view
-        metrics.gauge("lease.live", int(self.lease.live()))
-        metrics.gauge("replica.revision", view.replica.revision)
-        metrics.gauge("store.reachable", int(self.sync.store_reachable))
-        metrics.gauge("requests.in_progress", self.front.in_progress)
-        metrics.gauge(
-            "shards.owned", len(view.pages.shards_of(self.incarnation))
-        )
-        metrics.gauge(
-            "configuration.revision", self.assignment.in_force.revision
-        )
-
     def _record(self) -> records.NodeRecord:
         settings = self.settings
         return records.NodeRecord(
--- a/tests/cover/test_metrics.py
+++ b/tests/cover/test_metrics.py
@@ -4,6 +4,7 @@
 
 from auburnrock import errors
 from auburnrock import messages
+from auburnrock.shells import control_traffic
 from auburnrock.shells import front
 from auburnrock.shells import metrics
 from auburnrock.shells import metrics_task
@@ -61,7 +62,10 @@
 def task_with(answers, to):
     source = control_sources.FakeSource()
     router = request_tally.CountingRouter(ScriptedRouter(answers))
-    return metrics_task.MetricsTask(source, router, source.event_log, to)
+    traffic = control_traffic.ControlTraffic()
+    return metrics_task.MetricsTask(
+        source, router, source.event_log, to, traffic
+    )
 
 
 class Recorder(metrics.NoMetrics):
