--- a/tests/common/assignment_world.py
+++ b/tests/common/assignment_world.py
@@ -40,8 +40,8 @@
     epoch: int
 
 
-class FakeTarget(release_lib.WorkCount):
-    """A target with a clock of its own, and its node's count of its work."""
+class FakeTarget:
+    """A target with a clock of its own."""
 
     def __init__(self, world, node, number, rate, checks_grants):
         self.world = world
@@ -127,22 +127,16 @@
         for job in queued:
             self.start(job)
 
-    def in_flight(self, service, shard):
-        del service
-        return sum(j.shard == shard for j in self.running + self.queued)
-
-    def unanswered(self, service, shard):
-        return 0
-
 
-class Node:
-    """One incarnation of a daemon."""
+class Node(release_lib.WorkCount):
+    """One incarnation of a daemon, which counts its own work."""
 
     def __init__(self, world, name, incarnation, rate, checks_grants):
         self.world = world
         self.name = name
         self.incarnation = incarnation
         self.paused = self.ended = self.stale = False
+        self.lost_requests = 0
         self.lease_end_ms = world.now_ms + TIMING.holder_term_ms()
         self.target = FakeTarget(world, self, incarnation, rate, checks_grants)
         self.view = view_lib.View(replica_lib.Replica())
@@ -162,10 +156,11 @@
         self.sync()
 
     def in_flight(self, service, shard):
-        return self.target.in_flight(service, shard)
+        jobs = self.target.running + self.target.queued
+        return sum(job.shard == shard for job in jobs)
 
     def unanswered(self, service, shard):
-        return 0
+        return self.lost_requests
 
     def sync(self):
         self.changed(self.view.apply_snapshot(self.world.store.snapshot()))
@@ -175,6 +170,11 @@
         if value is not None:
             self.changed(self.view.apply_value(value))
 
+    def sync_all_but(self, without):
+        for key in list(self.world.store.values):
+            if key != without:
+                self.sync_key(key)
+
     def changed(self, change):
         before = self.in_force.revision
         self.in_force.on_change(change.keys, self.view.replica)
@@ -332,6 +332,14 @@
         node.target.start(Job(key, shard, epoch))
         return True
 
+    def request_anywhere(self, key):
+        """Sends a request to whichever node accepts it."""
+        return any([self.request(node, key) for node in list(self.nodes)])
+
+    def owner(self, key):
+        """The node that accepts a key; None if there is none."""
+        return next((n for n in self.nodes if n.accepts(key)), None)
+
     def restart_target(self, node):
         old = node.target
         self.last_incarnation += 1
@@ -404,8 +412,4 @@
 
     def unserved(self):
         """The keys that no node accepts."""
-        return [
-            key
-            for key in KEYS
-            if not any(node.accepts(key) for node in self.nodes)
-        ]
+        return [key for key in KEYS if self.owner(key) is None]
