Look at each shard only when something has changed

Cause: an idle daemon spent 2.9% of a core, most of it on looking at every owned shard 20 to 50 times a second (profile of a daemon in a fleet of 12). Ruled out: the lease itself (ticks and datagrams were a fifth of it). Change: releases and the list of grantable shards are worked out anew only when one of their inputs has changed, or half a second has passed; the target's task looks ten times a second unless a shard is being released.

--- a/src/auburnrock/engine/release.py
+++ b/src/auburnrock/engine/release.py
@@ -34,6 +34,8 @@
 PART = "release"
 DRAIN_MARGIN_MS = 500
 """How much longer than a request's deadline its work may take to end."""
+BEGIN_AGAIN_MS = 500
+"""Longest time until a shard whose pause is over is looked at again."""
 RETRY_PAUSE_MS = 2_000
 """Time until a move that was given up is tried again."""
 
@@ -135,6 +137,11 @@
         self._writer = record_writer.RecordWriter(PART, incarnation)
         self._written: dict[str, page_change.PageChange] = {}
         self._hot_keys = hot_keys.HotKeys(incarnation, view, configuration)
+        self._version = 0
+        self._grantable: list[targets_base.GrantedShard] = []
+        self._grantable_inputs: tuple = ()
+        self._begun_inputs: tuple = ()
+        self._begin_again_ms = 0
         self._note_owned()
 
     def admission(
@@ -170,13 +177,11 @@
         target = self.grants.target
         if target is None:
             return []
-        return [
-            targets_base.GrantedShard(each.shard, entry.epoch)
-            for each, entry in self._entries()
-            if each.service == target.service
-            and entry.epoch > self._released_epoch(each)
-            and self._hot_keys.are_known(each.service, each.shard)
-        ]
+        inputs = (self._version, self.configuration.revision, target.service)
+        if inputs != self._grantable_inputs:
+            self._grantable_inputs = inputs
+            self._grantable = self._find_grantable(target.service)
+        return self._grantable
 
     def on_change(self, changed: list[str], now_ms: int) -> None:
         """Takes in keys of the replica that changed."""
@@ -197,7 +202,11 @@
 
     def tick(self, now_ms: int) -> list[actions.Action]:
         """Advances the releases and hands over what is released."""
-        self._begin(now_ms)
+        inputs = self._begin_inputs(now_ms)
+        if inputs != self._begun_inputs or now_ms >= self._begin_again_ms:
+            self._begun_inputs = inputs
+            self._begin_again_ms = now_ms + BEGIN_AGAIN_MS
+            self._begin(now_ms)
         asked: list[actions.Action] = []
         for releases in list(self.releases.values()):
             for release in list(releases.values()):
@@ -221,7 +230,34 @@
             actions.LogEvent("shards_handed_over", fields),
         ]
 
+    def _find_grantable(self, service: str) -> list[targets_base.GrantedShard]:
+        return [
+            targets_base.GrantedShard(each.shard, entry.epoch)
+            for each, entry in self._entries()
+            if each.service == service
+            and entry.epoch > self._released_epoch(each)
+            and self._hot_keys.are_known(each.service, each.shard)
+        ]
+
+    def _begin_inputs(self, now_ms: int) -> tuple:
+        """Everything that decides which releases begin, pauses aside.
+
+        Looking at each shard at each tick would be most of an idle node's
+        work.
+        """
+        target = self.grants.target
+        service = target.service if target else ""
+        return (
+            self._version,
+            self.view.members.version,
+            self.configuration.revision,
+            self.leaving,
+            target.incarnation if target else "",
+            self._target_ended(service, now_ms),
+        )
+
     def _note_owned(self) -> None:
+        self._version += 1
         self._owned = self.view.pages.shards_of(self.incarnation)
         self._hot_keys.note_owned(self._owned)
 
@@ -342,6 +378,7 @@
         return timeout_ms + DRAIN_MARGIN_MS
 
     def _apply(self, release: Release, event: str, now_ms: int) -> None:
+        self._version += 1
         transition = _CHART.next(release.state, event)
         release.state = transition.to
         release.since_ms = now_ms
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -103,6 +103,8 @@
         """Goes on with what waits for time."""
         self._run(self.assigner.tick(now_ms))
         self._run(self.releases.tick(now_ms))
+        if any(self.releases.releases.values()):
+            self.target_task.wake()
 
     def on_store_result(self, result: actions.StoreResult) -> None:
         """Takes the result of a call to the store."""
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -87,6 +87,10 @@
         """The shards to grant now."""
         return self.assignment.releases.grantable()
 
+    def is_moving(self) -> bool:
+        """Whether a shard is being released."""
+        return any(self.assignment.releases.releases.values())
+
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """Notes what the target ran; see the base class."""
         return self.executor.on_target_ended()
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -19,7 +19,9 @@
 from auburnrock.targets import base as targets_base
 from auburnrock.targets import http as http_target
 
-TICK_S = 0.02
+TICK_S = 0.1
+MOVING_TICK_S = 0.02
+"""Time between looks while a shard is being released."""
 PROBE_TIMEOUT_S = 0.2
 DEFAULTS = records.ServiceSettings()
 
@@ -35,6 +37,10 @@
     def grantable(self) -> list[targets_base.GrantedShard]:
         """The shards to grant now."""
 
+    @abc.abstractmethod
+    def is_moving(self) -> bool:
+        """Whether a shard is being released."""
+
     @abc.abstractmethod
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """The target has surely ended; returns records of what it ran."""
@@ -85,10 +91,15 @@
         while True:
             await self._grant_if_due()
             self.slots.expire()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TICK_S):
-                    await self._changed.wait()
-            self._changed.clear()
+            await self._wait()
+
+    async def _wait(self) -> None:
+        is_moving = self.shards is not None and self.shards.is_moving()
+        tick_s = MOVING_TICK_S if is_moving else TICK_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(tick_s):
+                await self._changed.wait()
+        self._changed.clear()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Closes the connections to the target."""
--- a/src/auburnrock_standins/fleet.py
+++ b/src/auburnrock_standins/fleet.py
@@ -100,6 +100,7 @@
       hosts: the hosts by name.
       platform: the platform's process; None before it is started.
       target_options: what the targets are started with.
+      statsd: host:port of a metrics' collector; empty for none.
     """
 
     def __init__(
@@ -107,9 +108,11 @@
         deployment: processes.Deployment,
         spec: DeploymentSpec,
         target_options: processes.TargetSpec | None = None,
+        statsd: str = "",
     ):
         self.deployment = deployment
         self.target_options = target_options or processes.TargetSpec()
+        self.statsd = statsd
         self.platform: processes.Process | None = None
         count = PORTS_PER_HOST * len(spec.hosts) + 1
         ports = processes.free_ports(count)
@@ -166,6 +169,7 @@
             peer_port=peer_port,
             control_port=control_port,
             platform=self.platform_address(),
+            statsd=self.statsd,
         )
         path = self.deployment.folder / f"{spec.name}.json"
         path.write_bytes(msgspec.json.encode(settings))
