Use one decoder for settings and operators' files, and name exact fields

Cause: two modules turned the decoder's texts into field, got and accepted. Neither named the service in which a field was wrong (`services[...].slots`), and a number of more than 4,300 digits ended strict_json with a traceback. Ruled out: checking each service on its own (the message would have to be put together again from parts). No test of the files was changed. Conclusion: an operator sees `services.gridsvc.slots: got "x" (str)`.

--- a/src/auburnrock/engine/configuration_rules.py
+++ b/src/auburnrock/engine/configuration_rules.py
@@ -7,6 +7,7 @@
 
 from auburnrock import errors
 from auburnrock import records
+from auburnrock import strict_json
 
 FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 SERVICE_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
@@ -28,10 +29,6 @@
 }
 WEIGHTS = ("imbalance", "churn", "unavailable_time")
 
-_EXPECTED = re.compile(r"Expected `([^`]*)`")
-_PATH = re.compile(r"at `\$\.?([^`]*)`")
-_UNKNOWN = re.compile(r"unknown field `([^`]*)`")
-
 
 class RejectedError(Exception):
     """A configuration that breaks a rule.
@@ -74,22 +71,17 @@
 def decode(name: str, text: str) -> object:
     """The content of a file; raises RejectedError if it is not JSON."""
     try:
-        content = msgspec.json.decode(text)
-        # Only this decoder shows a key that stands twice.
-        json.loads(text, object_pairs_hook=_unique)
-    except (ValueError, RecursionError) as error:
-        raise RejectedError(
-            name, "the whole file", str(error), "a JSON object"
-        ) from error
-    return content
+        return strict_json.parse(text.encode(errors="surrogatepass"))
+    except strict_json.FieldError as error:
+        raise _rejected(name, error) from error
 
 
 def check_types(name: str, content: object) -> None:
     """Raises RejectedError unless each field has its type."""
     try:
-        msgspec.convert(content, _File)
-    except msgspec.ValidationError as error:
-        raise _rejected_type(name, content, str(error)) from error
+        strict_json.convert(content, _File)
+    except strict_json.FieldError as error:
+        raise _rejected(name, error) from error
 
 
 def check_merged(
@@ -166,16 +158,6 @@
         return "none"
 
 
-def _unique(pairs: list[tuple[str, object]]) -> dict[str, object]:
-    """Builds an object; raises ValueError if a key stands twice."""
-    found: dict[str, object] = {}
-    for key, value in pairs:
-        if key in found:
-            raise ValueError(f"key {key!r} stands twice in one object")
-        found[key] = value
-    return found
-
-
 def _names(value: object, path: list[str]) -> bool:
     for part in path:
         if not isinstance(value, dict) or part not in value:
@@ -230,31 +212,5 @@
             )
 
 
-def _rejected_type(name: str, content: object, message: str) -> RejectedError:
-    match = _PATH.search(message)
-    path = match.group(1) if match else ""
-    unknown = _UNKNOWN.search(message)
-    if unknown:
-        field = ".".join(filter(None, [path, unknown.group(1)]))
-        return RejectedError(
-            name, field, "an unknown field", _known_fields(path)
-        )
-    expected = _EXPECTED.search(message)
-    accepted = expected.group(1) if expected else message
-    got = re.search(r"got `([^`]*)`", message)
-    return RejectedError(
-        name,
-        path or "the whole file",
-        got.group(1) if got else type(content).__name__,
-        accepted,
-    )
-
-
-def _known_fields(path: str) -> str:
-    if not path:
-        return "services"
-    if path.endswith("weights"):
-        return ", ".join(WEIGHTS)
-    if "non_idempotent" in path:
-        return "method, path_prefix"
-    return ", ".join(records.ServiceSettings.__struct_fields__)
+def _rejected(name: str, error: strict_json.FieldError) -> RejectedError:
+    return RejectedError(name, error.field, error.got, error.accepted)
