--- a/src/auburnrock_standins/fleet.py
+++ b/src/auburnrock_standins/fleet.py
@@ -106,6 +106,7 @@
       forwarder: carries the links that can be cut: from the other nodes to
         each daemon's peer port, and from it to the platform; None if the
         nodes meet directly.
+      statsd: host:port of a metrics' collector; empty for none.
     """
 
     def __init__(
@@ -113,12 +114,14 @@
         deployment: processes.Deployment,
         spec: DeploymentSpec,
         target_options: processes.TargetSpec | None = None,
+        statsd: str = "",
         has_forwarder: bool = False,
     ):
         self.deployment = deployment
         self.has_forwarder = has_forwarder
         self.forwarder: processes.Process | None = None
         self.target_options = target_options or processes.TargetSpec()
+        self.statsd = statsd
         self.platform: processes.Process | None = None
         links = LINKS_PER_HOST if has_forwarder else 0
         count = (PORTS_PER_HOST + links) * len(spec.hosts) + 1
@@ -224,6 +227,7 @@
             control_port=control_port,
             platform=f"{ADDRESS}:{platform_port}",
             advertised_peer_port=advertised_port,
+            statsd=self.statsd,
         )
         path = self.deployment.folder / f"{spec.name}.json"
         path.write_bytes(msgspec.json.encode(settings))
--- a/src/auburnrock_standins/trial.py
+++ b/src/auburnrock_standins/trial.py
@@ -261,7 +261,10 @@
         processes.Deployment(pathlib.Path(scratch)) as deployment,
     ):
         fleet = fleet_lib.Fleet(
-            deployment, spec_of(hosts), options, has_forwarder
+            deployment,
+            spec_of(hosts),
+            options,
+            has_forwarder=has_forwarder,
         )
         await fleet.start()
         platform = http_platform.connect(fleet.platform_address())
