Move shards of targets that check no grants after a confirmed end

Cause: sealings of such nodes stayed in 'confirming' until the operator's word, for nothing gave them a confirmed end; and a living daemon never noticed that its target had ended unless a request failed in it. Change: the sealer probes the record's target address (refused: ended). A successor's record confirms too: another target at the same address has taken its place; the same target goes on beside the successor, and then the assigner gives the shards to that node only (Members.heir), also along a chain of successors. A daemon probes a target that stopped announcing itself. Ruled out: giving the shards to any successor of the name; it may be a later start that does not have the target yet. Trusting an end seen out of order: the refused swap that shows it does not show the successor's record. Unavailable until the daemon is back, if the daemon is lost and such a target lives on.

--- a/src/auburnrock/engine/member.py
+++ b/src/auburnrock/engine/member.py
@@ -107,6 +107,7 @@
         asked += self.witness.tick(now_ms)
         for sealing in list(self.sealings.values()):
             asked += sealing.tick(now_ms)
+        asked += self._confirm_ends(now_ms)
         asked += self._begin_due_sealings(now_ms)
         asked += self._drop_finished_sealings(now_ms)
         return asked + self._log_lease(now_ms)
@@ -183,6 +184,14 @@
             return []
         return sealing.on_target_ended(now_ms, target_incarnation)
 
+    def unconfirmed(self) -> list[records.NodeRecord]:
+        """Nodes whose lease is over, but not surely the target's work."""
+        return [
+            sealing.record
+            for sealing in self.sealings.values()
+            if sealing.state == "confirming"
+        ]
+
     def on_node_ended(
         self, now_ms: int, incarnation: int
     ) -> list[actions.Action]:
@@ -195,6 +204,22 @@
             return self._begin_if_due(now_ms, incarnation)
         return sealing.on_node_ended(now_ms)
 
+    def _confirm_ends(self, now_ms: int) -> list[actions.Action]:
+        """Takes what the records of successors say of former targets."""
+        asked: list[actions.Action] = []
+        for record in self.unconfirmed():
+            later = [
+                known.record
+                for incarnation, known in self.known.items()
+                if incarnation > record.incarnation
+                and known.record.name == record.name
+            ]
+            if any(_confirms_end(record, other) for other in later):
+                sealing = self.sealings[record.incarnation]
+                target = record.target_incarnation
+                asked += sealing.on_target_ended(now_ms, target)
+        return asked
+
     def _learn(self, now_ms: int, value: platform_base.Value) -> None:
         incarnation = incarnation_of(value.key)
         if value.data is None:
@@ -319,6 +344,22 @@
     return int(key.rpartition("/")[2], 16)
 
 
+def _confirms_end(
+    former: records.NodeRecord, successor: records.NodeRecord
+) -> bool:
+    """Whether a successor's record ends what a former target answers for.
+
+    Another target at the same address has taken the former one's place. If the
+    same target is now beside the successor, its shards go there and nowhere
+    else (see Members.heir), so it may go on with what it runs.
+    """
+    if not successor.target_incarnation:
+        return False
+    if successor.target_incarnation == former.target_incarnation:
+        return not successor.checks_grants
+    return successor.target_address == former.target_address
+
+
 def _log(
     event: str, record: records.NodeRecord, fields: list[tuple[str, str]]
 ) -> actions.LogEvent:
--- a/src/auburnrock/engine/members.py
+++ b/src/auburnrock/engine/members.py
@@ -79,11 +79,25 @@
             return True
         record = self.get(incarnation)
         if record is not None:
-            return record.state == records.NodeState.ENDED
+            if record.state is not records.NodeState.ENDED:
+                return False
+            # What led to the end of one whose target checks no grants must be
+            # known too: that target may be beside a successor now.
+            known_up_to = self._replica.revision
+            return record.checks_grants or (
+                known_up_to >= self.revision(incarnation)
+            )
         if incarnation in self.listed:
             return False
         return self._replica.revision >= as_of_revision
 
+    def may_have_ended(self, incarnation: int) -> bool:
+        """Whether a later look at the replica alone may show an end."""
+        record = self.get(incarnation)
+        if record is None:
+            return incarnation not in self.listed
+        return record.state is records.NodeState.ENDED
+
     def changed(self, keys: list[str]) -> list[int]:
         """The incarnations whose records are among these keys."""
         named = [_parse_key(key) for key in keys if _is_node(key)]
@@ -122,6 +136,25 @@
             return None
         return self.get(latest)
 
+    def heir(self, incarnation: int) -> records.NodeRecord | None:
+        """The node beside the living target of an ended incarnation.
+
+        Such a target checks no grants and may still work on the shards of the
+        ended incarnation, so none but its present node may own them. None if
+        the target has ended too.
+        """
+        former = self.get(incarnation)
+        if former is None or former.checks_grants:
+            return None
+        if not former.target_incarnation:
+            return None
+        for other in sorted(self.by_name[former.name], reverse=True):
+            record = self.get(other)
+            is_later = other > incarnation
+            if is_later and _goes_on(former, record):
+                return record
+        return None
+
     def _update_key(self, key: str) -> list[actions.LogEvent]:
         named = _parse_key(key)
         if named is None:
@@ -155,6 +188,14 @@
             del self.by_name[name]
 
 
+def _goes_on(former: records.NodeRecord, later: records.NodeRecord) -> bool:
+    """Whether a target is now beside a later node that has not ended."""
+    return (
+        later.target_incarnation == former.target_incarnation
+        and later.state is not records.NodeState.ENDED
+    )
+
+
 def _is_node(key: str) -> bool:
     return key.startswith(records.NODES_PREFIX)
 
--- a/src/auburnrock/engine/needs.py
+++ b/src/auburnrock/engine/needs.py
@@ -170,8 +170,9 @@
         for owner in page.by_owner:
             if page_change.is_ended_owner(page, members, owner):
                 found.add(Need("reassign", owner))
-            elif owner and owner not in members.listed:
-                # Whether it has ended shows once the replica has caught up.
+            elif owner and members.may_have_ended(owner):
+                # Whether it has ended shows once the replica has caught up,
+                # or once the node that has its target now can own shards.
                 self._unchecked.add(page.key)
         for shard, to in page.moving().items():
             if page_change.is_stuck_move(page, members, shard, to):
--- a/src/auburnrock/engine/page_change.py
+++ b/src/auburnrock/engine/page_change.py
@@ -115,7 +115,7 @@
     for owner, shards in page.by_owner.items():
         if not is_ended_owner(page, members, owner):
             continue
-        successor = members.successor(owner)
+        successor = members.heir(owner) or members.successor(owner)
         for shard in shards:
             to = change.moving.pop(shard, records.NO_OWNER)
             if successor and successor.incarnation in by_incarnation:
@@ -176,7 +176,10 @@
     """Whether the shards of an owner named by a page are to be given away."""
     if owner == records.NO_OWNER:
         return False
-    return members.has_ended(owner, page.revision)
+    if not members.has_ended(owner, page.revision):
+        return False
+    heir = members.heir(owner)
+    return heir is None or heir in members.serving(page.record.service)
 
 
 def is_stuck_move(
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -103,6 +103,11 @@
         asked = self.member.on_node_ended(clock.now_ms(), incarnation)
         self.runner.run(self, asked)
 
+    def on_target_ended(self, incarnation: int, target: str) -> None:
+        """Takes the confirmed end of the target beside another node."""
+        asked = self.member.on_target_ended(clock.now_ms(), incarnation, target)
+        self.runner.run(self, asked)
+
     def on_datagram(
         self, message: messages.Datagram, sender: tuple[str, int]
     ) -> None:
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -11,6 +11,7 @@
 from auburnrock.shells import action_runner
 from auburnrock.shells import assignment_task
 from auburnrock.shells import clock
+from auburnrock.shells import end_prober
 from auburnrock.shells import executor
 from auburnrock.shells import frames
 from auburnrock.shells import front
@@ -221,7 +222,11 @@
             self.quarantine,
             node_router,
         ]
-        self.lease.listeners += [self.assignment, Upkeep(self)]
+        self.lease.listeners += [
+            self.assignment,
+            end_prober.EndProber(self.lease),
+            Upkeep(self),
+        ]
         self.services: list[aiomisc.Service] = [
             self.front,
             self.sync,
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -11,6 +11,7 @@
 from auburnrock.engine import grants as grants_lib
 from auburnrock.engine import timing as timing_lib
 from auburnrock.shells import clock
+from auburnrock.shells import end_prober
 from auburnrock.shells import executor
 from auburnrock.shells import front
 from auburnrock.shells import lease_task
@@ -18,11 +19,12 @@
 from auburnrock.shells import target_slots
 from auburnrock.targets import base as targets_base
 from auburnrock.targets import http as http_target
+from auburnrock.targets import protocol
 
 TICK_S = 0.1
 MOVING_TICK_S = 0.02
 """Time between looks while a shard is being released."""
-PROBE_TIMEOUT_S = 0.2
+SILENCE_LIMIT_MS = 2 * protocol.ANNOUNCE_EVERY_MS
 DEFAULTS = records.ServiceSettings()
 
 
@@ -82,6 +84,7 @@
         )
         self.shards: ShardSource | None = None
         self._changed = asyncio.Event()
+        self._probed_ms = 0
         self._ending: asyncio.Task | None = None
         self._closing: set[asyncio.Task] = set()
 
@@ -90,6 +93,7 @@
         self.start_event.set()
         while True:
             await self._grant_if_due()
+            await self._probe_if_silent()
             self.slots.expire()
             await self._wait()
 
@@ -151,7 +155,7 @@
         if self._ending is None and await self._refuses_connections():
             self.on_ended("its port refuses connections")
         if self._ending is not None:
-            await asyncio.wait([self._ending], timeout=PROBE_TIMEOUT_S)
+            await asyncio.wait([self._ending], timeout=end_prober.TIMEOUT_S)
 
     def on_ended(self, reason: str) -> None:
         """Takes in that the target has surely ended."""
@@ -251,13 +255,20 @@
         """Whether nothing listens any more where the target was."""
         if self.announced is None:
             return False
-        host, _, port = self.announced.address.rpartition(":")
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return False
+        return await end_prober.refuses_connections(self.announced.address)
+
+    async def _probe_if_silent(self) -> None:
+        """Notices the end of a target that checks no grants, so gets none.
+
+        It announces itself regularly as long as it lives.
+        """
+        seen = self.grants.target
+        if self.announced is None or seen is None or seen.checks_grants:
+            return
+        now_ms = clock.now_ms()
+        silent_ms = now_ms - max(seen.received_ms, self._probed_ms)
+        if silent_ms < SILENCE_LIMIT_MS:
+            return
+        self._probed_ms = now_ms
+        if await self._refuses_connections():
+            self.on_ended("its port refuses connections")
--- a/tests/common/failures.py
+++ b/tests/common/failures.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 
+from auburnrock import records
 from auburnrock.shells import clock
 from auburnrock_standins import fleet as fleet_lib
 from auburnrock_standins import platform_switches
@@ -87,3 +88,14 @@
         for probe in trial.prober.probes
         if probe.error and probe.sent_ms >= since_ms
     ]
+
+
+async def wait_for_a_takeover(trial: trial_lib.Trial) -> None:
+    """Waits until a node's record is SEALING, and for the lease after it."""
+    async with asyncio.timeout(SERVED_LIMIT_S):
+        while not any(
+            node.state is records.NodeState.SEALING
+            for node in await trial.nodes()
+        ):
+            await asyncio.sleep(INTERVAL_S)
+    await asyncio.sleep(LONGER_THAN_A_LEASE_S)
--- a/tests/cover/test_failover_processes.py
+++ b/tests/cover/test_failover_processes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from auburnrock.shells import clock
 from auburnrock_standins import trial as trial_lib
 from tests.common import failures
@@ -42,12 +44,17 @@
         assert await trial.broken_promises() == []
 
 
-async def test_a_restarted_daemon_takes_the_same_shards_back():
-    async with trial_lib.running(4) as trial:
+@pytest.mark.parametrize("checks_grants", [True, False])
+async def test_a_restarted_daemon_takes_the_same_shards_back(checks_grants):
+    async with trial_lib.running(4, checks_grants) as trial:
         before = await trial.owners()
         host = await failures.owner_of_some(trial)
         former = trial.incarnation(host)
         host.daemon.kill()
+        if not checks_grants:
+            # Its target lives on, so nobody else may have the shards.
+            await failures.wait_for_a_takeover(trial)
+            assert await trial.owners() == before
         await trial.restart(host)
         after = await trial.wait_until_settled()
         successor = trial.incarnation(host)
