Keep nonsense, silent watches and short deltas from stopping a replica

Cause: an undecodable node record raised out of the replica's listeners and ended the task that follows the store; a watch that failed silently was only repeated; a pull that brought too little was not; an exception in a store call left its part waiting for a result for ever. Change: a containment logs what a listener, a tick or a result handler raises (internal_error) and goes on. Nonsense leaves the known record in place; a holder that loses a write to nonsense ends, as it may have replaced SEALING; a sealer stands down, or writes ENDED over it once the lease is over. After each watch without news the reader reads; a watch waits 4 s in place of 20 s. Pulls go on while they bring news and the goal is ahead, and go to the address in the sender's record, since a datagram may have been forwarded. Ruled out: a full list after each watch; it costs a reader the whole table.

--- a/src/auburnrock/engine/in_force.py
+++ b/src/auburnrock/engine/in_force.py
@@ -1,7 +1,5 @@
 """The configuration that a node applies; its revision never falls."""
 
-import msgspec
-
 from auburnrock import records
 from auburnrock.engine import actions
 from auburnrock.engine import replica as replica_lib
@@ -54,7 +52,7 @@
             return [_event("configuration_missing", self.revision)]
         try:
             offered = records.decode_configuration(value.data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except records.NONSENSE as error:
             return [
                 actions.LogEvent(
                     "record_undecodable",
--- a/src/auburnrock/engine/lease.py
+++ b/src/auburnrock/engine/lease.py
@@ -253,7 +253,10 @@
             return
         if current.revision <= self.revision:
             return
-        record = records.decode_node(current.data)
+        record = records.try_decode_node(current.data)
+        if record is None:
+            # Nonsense cannot be sealed; the known witnesses go on.
+            return
         event = "ended" if record.state in _OVER else "seen"
         self._apply(now_ms, event, current)
 
@@ -389,8 +392,10 @@
         if current is None or current.data is None:
             self._apply(now_ms, "ended", None)
             return
-        record = records.decode_node(current.data)
-        event = "ended" if record.state in _OVER else "lost"
+        record = records.try_decode_node(current.data)
+        # Nonsense may have replaced a record that was SEALING.
+        is_over = record is None or record.state in _OVER
+        event = "ended" if is_over else "lost"
         self._apply(now_ms, event, current)
 
     def _adopt(self, current: platform_base.Value | None) -> None:
--- a/src/auburnrock/engine/member.py
+++ b/src/auburnrock/engine/member.py
@@ -227,7 +227,10 @@
             self.witness.on_record_deleted(incarnation)
             self._forget_confirmations(incarnation)
             return
-        record = records.decode_node(value.data)
+        record = records.try_decode_node(value.data)
+        if record is None:
+            # Nonsense; the replica's view logs it. What was known stands.
+            return
         if record.state is records.NodeState.ENDED:
             self._forget_confirmations(incarnation)
         self.known[incarnation] = Known(record, value)
--- a/src/auburnrock/engine/members.py
+++ b/src/auburnrock/engine/members.py
@@ -169,7 +169,7 @@
         self.listed.add(incarnation)
         try:
             record = records.decode_node(value.data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except records.NONSENSE as error:
             return [_undecodable(key, str(error))]
         if (record.name, record.incarnation) != (name, incarnation):
             return [_undecodable(key, "it names another node than its key")]
--- a/src/auburnrock/engine/pages.py
+++ b/src/auburnrock/engine/pages.py
@@ -146,7 +146,7 @@
             return []
         try:
             record = records.decode_page(value.data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except records.NONSENSE as error:
             return [_undecodable(key, str(error))]
         problem = _problem(key, record)
         if problem:
--- a/src/auburnrock/engine/sealing.py
+++ b/src/auburnrock/engine/sealing.py
@@ -207,7 +207,10 @@
     def _on_seen(
         self, now_ms: int, current: platform_base.Value
     ) -> list[actions.Action]:
-        self.record = records.decode_node(current.data)
+        record = records.try_decode_node(current.data)
+        if record is None:
+            return self._on_nonsense(now_ms, current.revision)
+        self.record = record
         self.revision = current.revision
         if self.record.state is records.NodeState.ENDED:
             self._apply("ended")
@@ -221,6 +224,19 @@
         self._apply("not_claimed")
         return []
 
+    def _on_nonsense(self, now_ms: int, revision: int) -> list[actions.Action]:
+        """Stands down, or writes the end over it if the lease is over.
+
+        Before the record is SEALING, only it can tell who the witnesses are.
+        Afterwards its only right content is ENDED.
+        """
+        if self.state == "claiming":
+            self._apply("not_claimed")
+        else:
+            self.revision = revision
+            self.next_write_ms = now_ms + self.timing.store_retry_ms
+        return []
+
     def _on_sealing_record(self, now_ms: int) -> list[actions.Action]:
         self._apply("sealing")
         if self.node_ended:
--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -10,6 +10,9 @@
 import msgspec
 
 FILES_PREFIX = "files/"
+NONSENSE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""What decoding a record raises if it is none."""
+
 CONFIGURATION_KEY = "configuration"
 NODES_PREFIX = "nodes/"
 PAGES_PREFIX = "pages/"
@@ -252,7 +255,7 @@
         return None
     try:
         return decode_node(data)
-    except msgspec.DecodeError:
+    except NONSENSE:
         return None
 
 
--- a/src/auburnrock/shells/action_runner.py
+++ b/src/auburnrock/shells/action_runner.py
@@ -6,6 +6,7 @@
 from auburnrock import messages
 from auburnrock.engine import actions
 from auburnrock.platform import base as platform_base
+from auburnrock.shells import containment
 from auburnrock.shells import control_traffic
 from auburnrock.shells import datagrams
 from auburnrock.shells import logs
@@ -48,6 +49,7 @@
         self.incarnation = incarnation
         self.store_calls = 0
         self.traffic = control_traffic.ControlTraffic()
+        self._containment = containment.Containment(event_log)
         self._tasks: set[asyncio.Task] = set()
 
     def run(self, part: Part, asked: list[actions.Action]) -> None:
@@ -105,7 +107,7 @@
         elif result.outcome is actions.StoreOutcome.DONE:
             # A deletion: its tombstone comes with the next read.
             self.sync.catch_up()
-        part.on_store_result(result)
+        self._containment.run(part.on_store_result, result)
 
     async def _spread(self, incarnations: list[int]) -> None:
         # A hint carries the watermark, and only a read moves that past a
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -12,6 +12,7 @@
 from auburnrock.engine import timing as timing_lib
 from auburnrock.shells import action_runner
 from auburnrock.shells import clock
+from auburnrock.shells import containment
 from auburnrock.shells import datagrams
 from auburnrock.shells import logs
 from auburnrock.shells import store_sync
@@ -62,6 +63,7 @@
         self.runner = runner
         self.event_log = event_log
         self.port = port
+        self._containment = containment.Containment(event_log)
         self.listeners: list[TickListener] = []
         self.member: member.Member | None = None
 
@@ -83,7 +85,7 @@
         )
         self.start_event.set()
         while True:
-            self._tick()
+            self._containment.run(self._tick)
             await asyncio.sleep(TICK_S)
 
     def live(self) -> bool:
@@ -116,13 +118,35 @@
             return
         watermark = getattr(message, "watermark", 0)
         if watermark > self.sync.view.replica.revision:
-            self.sync.on_hint(sender[0], sender[1], watermark)
+            self._hint(message, sender, watermark)
         asked = self.member.on_datagram(clock.now_ms(), message)
         for action in asked:
             if isinstance(action, actions.Reply):
                 self.runner.socket.send(action.message, sender)
         self.runner.run(self, asked)
 
+    def _hint(
+        self,
+        message: messages.Renew | messages.RenewAnswer | messages.NewRevision,
+        sender: tuple[str, int],
+        watermark: int,
+    ) -> None:
+        """Lets the replica catch up from the node that is ahead.
+
+        Its record says where it listens; a datagram may have been forwarded.
+        """
+        match message:
+            case messages.Renew():
+                incarnation = message.node
+            case messages.RenewAnswer():
+                incarnation = message.witness
+            case messages.NewRevision():
+                incarnation = message.sender
+        record = self.sync.view.members.get(incarnation)
+        if record is not None:
+            sender = (record.address, record.peer_port)
+        self.sync.on_hint(*sender, watermark)
+
     def on_garbage(self, reason: str) -> None:
         """Notes a datagram that was no message."""
         self.event_log.write("datagram_garbage", reason=reason)
@@ -157,4 +181,4 @@
         self.member.set_watermark(self.sync.view.replica.revision)
         self.runner.run(self, self.member.tick(now_ms))
         for listener in self.listeners:
-            listener.on_tick(now_ms)
+            self._containment.run(listener.on_tick, now_ms)
--- a/src/auburnrock/shells/store_calls.py
+++ b/src/auburnrock/shells/store_calls.py
@@ -14,7 +14,9 @@
         return await _swap(platform, action)
     except platform_base.StoreUnavailableError:
         outcome = actions.StoreOutcome.UNAVAILABLE
-    except platform_base.StoreUnknownError:
+    except Exception:
+        # Whatever went wrong, the call may have had its effect, and its part
+        # waits for a result.
         outcome = actions.StoreOutcome.UNKNOWN
     return actions.StoreResult(action.token, outcome)
 
--- a/src/auburnrock/shells/store_sync.py
+++ b/src/auburnrock/shells/store_sync.py
@@ -19,13 +19,14 @@
 from auburnrock.engine import replica as replica_lib
 from auburnrock.engine import view as view_lib
 from auburnrock.platform import base as platform_base
+from auburnrock.shells import containment
 from auburnrock.shells import frames
 from auburnrock.shells import logs
 from auburnrock.shells import router
 
 EVERYTHING = ""
 FEWEST_READERS = 3
-WATCH_S = 20.0
+WATCH_S = 4.0
 READER_CHECK_S = 1.0
 SAFETY_READ_S = 30.0
 RETRY_S = 0.2
@@ -85,8 +86,10 @@
         self.listeners: list[ChangeListener] = []
         self.ready = asyncio.Event()
         self._advanced = asyncio.Event()
+        self._containment = containment.Containment(event_log)
         self._pull: asyncio.Task | None = None
         self._pull_goal = 0
+        self._pull_peer = ("", 0)
         self._newest_written = 0
         self._catch_up: asyncio.Task | None = None
 
@@ -107,8 +110,7 @@
     async def read_store(self, prefix: str, wait_s: float) -> bool:
         """Reads changes, waiting at most `wait_s`; says if the store answered.
 
-        The watch is only a hint: its timeout makes it a periodic read too, so
-        one that stops silently costs a timeout and no more.
+        A watch is only a hint, see `_follow`.
         """
         try:
             if self.view.replica.revision == 0:
@@ -145,14 +147,23 @@
         while await self.read_store(EVERYTHING, 0.0):
             if self.view.replica.revision >= self._newest_written:
                 return
+            await asyncio.sleep(RETRY_S)
 
     def on_hint(self, host: str, port: int, watermark: int) -> None:
         """Pulls from a peer that is ahead of the replica."""
         if watermark <= self.view.replica.revision:
             return
-        self._pull_goal = max(self._pull_goal, watermark)
-        if self._pull is None or self._pull.done():
-            self._pull = asyncio.create_task(self._pull_from(host, port))
+        if self.pull_ended():
+            self._pull_goal = 0
+        if watermark > self._pull_goal:
+            self._pull_goal = watermark
+            self._pull_peer = (host, port)
+        if self.pull_ended():
+            self._pull = asyncio.create_task(self._pull_until_goal())
+
+    def pull_ended(self) -> bool:
+        """Whether no pull is under way."""
+        return self._pull is None or self._pull.done()
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Returns when the replica has changed, at the latest on timeout."""
@@ -161,7 +172,13 @@
                 await self._advanced.wait()
 
     async def _follow(self) -> None:
+        """Watches the store, and reads it after each watch without news.
+
+        A watch that has stopped without a sign so costs its own time and no
+        more.
+        """
         retry_s = RETRY_S
+        watches = True
         last_read_s = asyncio.get_running_loop().time()
         safety_read_s = SAFETY_READ_S * (1 + random.random())
         while True:
@@ -171,7 +188,11 @@
                 await asyncio.sleep(READER_CHECK_S)
                 continue
             last_read_s = now_s
-            if await self.read_store(EVERYTHING, WATCH_S if reads else 0.0):
+            before = self.view.replica.revision
+            wait_s = WATCH_S if reads and watches else 0.0
+            answered = await self.read_store(EVERYTHING, wait_s)
+            watches = wait_s == 0.0 or self.view.replica.revision > before
+            if answered:
                 retry_s = RETRY_S
                 continue
             await asyncio.sleep(retry_s * (0.5 + random.random()))
@@ -183,6 +204,13 @@
             self.incarnation, active
         )
 
+    async def _pull_until_goal(self) -> None:
+        """Pulls as long as that brings news and the goal is not reached."""
+        before = -1
+        while before < self.view.replica.revision < self._pull_goal:
+            before = self.view.replica.revision
+            await self._pull_from(*self._pull_peer)
+
     async def _pull_from(self, host: str, port: int) -> None:
         pull = messages.Pull(0, self.view.replica.revision)
         try:
@@ -200,7 +228,7 @@
         self._advanced.set()
         self._advanced = asyncio.Event()
         for listener in self.listeners:
-            listener.on_replica_changed(change.keys)
+            self._containment.run(listener.on_replica_changed, change.keys)
 
     def _note_store(self, reachable: bool, reason: str) -> None:
         if reachable == self.store_reachable:
--- a/tests/nocover/test_failover_long.py
+++ b/tests/nocover/test_failover_long.py
@@ -48,6 +48,7 @@
             await asyncio.sleep(1.0)
             if loses_a_host:
                 trial.prober.keys = kept
+                await trial.prober.finish()
                 trial.kill_host(host)
             await asyncio.sleep(OUTAGE_S)
         assert failures.errors(trial, since_ms) == []
