Start a node anew after others have ended it

Cause: a daemon that was frozen for longer than its lease returned to a record that was ENDED. It lived on for good without a lease, refused by its target ten times a second, and its host was lost until someone restarted it. After five freezes of five hosts only the leader owned shards. Change: it finishes the requests in progress, then replaces itself by exec: the same process and settings, a new incarnation, nothing left of the former node. Ruled out: a new node in the same process; accepted connections of peers and the datagram socket would still lead to the old one. Ending with an exit code; nothing is known of what would start it again.

--- a/src/auburnrock/programs/auburnrockd.py
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -4,6 +4,9 @@
 """
 
 import asyncio
+import contextlib
+import enum
+import os
 import signal
 import sys
 
@@ -27,6 +30,15 @@
     "settings", None, "JSON file with the daemon's settings"
 )
 WRONG_SETTINGS_EXIT_CODE = 2
+ENDED_CHECK_S = 0.1
+LAST_REQUESTS_S = 2.0
+
+
+class End(enum.Enum):
+    """Why a node no longer runs."""
+
+    STOPPED = "stopped"
+    ENDED_BY_OTHERS = "ended_by_others"
 
 
 def main(_arguments: list[str]) -> int:
@@ -39,12 +51,17 @@
     except settings_lib.SettingsError as error:
         print(error, file=sys.stderr)
         return WRONG_SETTINGS_EXIT_CODE
-    uvloop.run(serve(settings))
+    if uvloop.run(serve(settings)) is End.ENDED_BY_OTHERS:
+        # As a restarted process would, with nothing left of the former node.
+        os.execv(sys.executable, sys.orig_argv)
     return 0
 
 
-async def serve(settings: settings_lib.DaemonSettings) -> None:
-    """Runs one node until it is told to stop."""
+async def serve(settings: settings_lib.DaemonSettings) -> End:
+    """Runs one node until it is told to stop, or others have ended it.
+
+    One that others have ended, as after a long pause, can never serve again.
+    """
     event_log = logs.event_log(settings.name)
     platform = http_platform.connect(settings.platform)
     node = node_lib.Node(settings, platform, event_log, timing_lib.Timing())
@@ -68,9 +85,23 @@
     async with aiomisc.entrypoint(
         *services, loop=loop, log_config=False, catch_signals=()
     ):
-        await stopping.wait()
-        await planned_stop.PlannedStop(node).run()
+        end = await _end_of(node, stopping)
+        if end is End.STOPPED:
+            await planned_stop.PlannedStop(node).run()
+        else:
+            event_log.write("ended_by_others")
+            await node.front.finish(LAST_REQUESTS_S)
     await platform.close()
+    return end
+
+
+async def _end_of(node: node_lib.Node, stopping: asyncio.Event) -> End:
+    while not node.lease.ended():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ENDED_CHECK_S):
+                await stopping.wait()
+                return End.STOPPED
+    return End.ENDED_BY_OTHERS
 
 
 def run() -> None:
--- a/src/auburnrock/shells/front.py
+++ b/src/auburnrock/shells/front.py
@@ -1,6 +1,8 @@
 """The port for callers and for the target beside this node."""
 
 import abc
+import asyncio
+import contextlib
 import math
 
 from aiohttp import web
@@ -18,6 +20,7 @@
 
 LONGEST_DEADLINE_MS = 60_000
 BACKLOG = 1024
+FINISH_POLL_S = 0.02
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -93,6 +96,15 @@
             await self._site.stop()
             self._site = None
 
+    async def finish(self, limit_s: float) -> None:
+        """Takes nothing new, and waits for the requests in progress."""
+        self.accepting = False
+        await self.close_port()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while self.in_progress:
+                    await asyncio.sleep(FINISH_POLL_S)
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Closes the port."""
         if self._runner is not None:
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -94,6 +94,10 @@
             clock.now_ms()
         )
 
+    def ended(self) -> bool:
+        """Whether this incarnation can never be live again."""
+        return self.member is not None and self.member.holder.ended
+
     def expires_at_ms(self) -> int:
         """When the lease ends without another renewal; 0 without a lease."""
         if self.member is None:
--- a/src/auburnrock_standins/fleet.py
+++ b/src/auburnrock_standins/fleet.py
@@ -83,8 +83,8 @@
         return f"{self.settings.address}:{self.settings.peer_port}"
 
     def output_incarnation(self) -> str:
-        """Incarnation of the daemon, as its log gives it."""
-        return _INCARNATION.findall(self.daemon.output())[0]
+        """Incarnation of the daemon's latest start, as its log says."""
+        return _INCARNATION.findall(self.daemon.output())[-1]
 
     def control_address(self) -> str:
         """host:port for the operators' tool."""
--- a/tests/common/failures.py
+++ b/tests/common/failures.py
@@ -51,6 +51,7 @@
     await wait_until_all_served(trial)
     for process in frozen:
         process.thaw()
+    await trial.wait_until_settled()
     trial.prober.lost.discard(host.spec.name)
     await wait_until_all_served(trial)
 
