Go on with a new incarnation after a freeze past the lease

Cause: a daemon whose incarnation was ended while it was frozen stayed without keys until someone started it again. Ruled out: keeping the incarnation (it was sealed; its shards have owners), and replacing the process (a process starts no other). Change: the daemon finishes the requests in progress and runs a new incarnation in the same process; the regression test failed before with no new record. Conclusion: a frozen host comes back by itself.

--- a/src/auburnrock/programs/auburnrockd.py
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -27,6 +27,7 @@
     "settings", None, "JSON file with the daemon's settings"
 )
 WRONG_SETTINGS_EXIT_CODE = 2
+TIMING = timing_lib.Timing()
 
 
 def main(_arguments: list[str]) -> int:
@@ -44,14 +45,38 @@
 
 
 async def serve(settings: settings_lib.DaemonSettings) -> None:
-    """Runs one node until it is told to stop."""
+    """Runs one incarnation after another until it is told to stop.
+
+    An incarnation that other nodes have ended, as after a long freeze, never
+    serves again; the process goes on with a new one.
+    """
     event_log = logs.event_log(settings.name)
     platform = http_platform.connect(settings.platform)
-    node = node_lib.Node(settings, platform, event_log, timing_lib.Timing())
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    while not stopping.is_set():
+        node = node_lib.Node(settings, platform, event_log, TIMING)
+        running = asyncio.create_task(run_incarnation(node, stopping))
+        stopped = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [running, stopped], return_when=asyncio.FIRST_COMPLETED
+        )
+        stopped.cancel()
+        if not node.sync.ready.is_set():
+            # Nothing was begun: the store has not answered yet.
+            running.cancel()
+        await asyncio.wait([running])
+        if not running.cancelled():
+            running.result()
+    await platform.close()
+
+
+async def run_incarnation(node: node_lib.Node, stopping: asyncio.Event) -> None:
+    """Runs one incarnation until a planned stop or until it has ended."""
+    settings = node.settings
+    event_log = node.event_log
     event_log.write("started", incarnation=f"{node.incarnation:016x}")
     source = control_source.NodeControl(node, stopping.set)
     control = control_server.make_server(
@@ -66,11 +91,23 @@
     )
     services = [*node.services, control, metrics]
     async with aiomisc.entrypoint(
-        *services, loop=loop, log_config=False, catch_signals=()
+        *services,
+        loop=asyncio.get_running_loop(),
+        log_config=False,
+        catch_signals=(),
     ):
-        await stopping.wait()
-        await planned_stop.PlannedStop(node).run()
-    await platform.close()
+        ended = asyncio.create_task(node.ended.wait())
+        stopped = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [ended, stopped], return_when=asyncio.FIRST_COMPLETED
+        )
+        ended.cancel()
+        stopped.cancel()
+        stop = planned_stop.PlannedStop(node)
+        if stopping.is_set():
+            await stop.run()
+        else:
+            await stop.finish_requests()
 
 
 def run() -> None:
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -16,6 +16,9 @@
 from auburnrock.shells import target_task
 from auburnrock.targets import base as targets_base
 
+CALM_TICK_MS = 100
+"""Time between looks while no shard is being released."""
+
 _REFUSALS = {
     release.Admission.MOVING: errors.Failure(
         errors.ErrorKind.MOVING, "the shard is being moved"
@@ -75,6 +78,7 @@
             incarnation, sync.view, self.chooser
         )
         self.releases: release.Releases | None = None
+        self.next_tick_ms = 0
 
     def set_work_count(self, work: release.WorkCount) -> None:
         """Completes the wiring with what counts the work under way."""
@@ -101,6 +105,10 @@
 
     def on_tick(self, now_ms: int) -> None:
         """Goes on with what waits for time."""
+        is_moving = any(self.releases.releases.values())
+        if now_ms < self.next_tick_ms and not is_moving:
+            return
+        self.next_tick_ms = now_ms + CALM_TICK_MS
         self._run(self.assigner.tick(now_ms))
         self._run(self.releases.tick(now_ms))
         if any(self.releases.releases.values()):
--- a/src/auburnrock/shells/datagrams.py
+++ b/src/auburnrock/shells/datagrams.py
@@ -8,6 +8,9 @@
 from auburnrock import messages
 from auburnrock.shells import control_traffic
 
+BIND_LIMIT_S = 2.0
+BIND_RETRY_S = 0.02
+
 
 class DatagramHandler(abc.ABC):
     """Receives datagrams."""
@@ -68,6 +71,11 @@
         self.traffic.datagram_sent(len(data))
         self.transport.sendto(data, receiver)
 
+    def close(self) -> None:
+        """Closes the socket."""
+        if self.transport is not None:
+            self.transport.abort()
+
 
 async def open_socket(
     handler: DatagramHandler,
@@ -75,9 +83,22 @@
     address: str,
     port: int,
 ) -> DatagramSocket:
-    """Opens the socket on an address of this host."""
+    """Opens the socket on an address of this host.
+
+    Waits a little for a port whose former socket is still being closed, as
+    when a process goes on with a new incarnation; raises OSError after that.
+    """
     loop = asyncio.get_running_loop()
-    _, protocol = await loop.create_datagram_endpoint(
-        lambda: DatagramSocket(handler, traffic), local_addr=(address, port)
-    )
-    return protocol
+    end_s = loop.time() + BIND_LIMIT_S
+    while True:
+        try:
+            _, protocol = await loop.create_datagram_endpoint(
+                lambda: DatagramSocket(handler, traffic),
+                local_addr=(address, port),
+            )
+        except OSError:
+            if loop.time() > end_s:
+                raise
+            await asyncio.sleep(BIND_RETRY_S)
+        else:
+            return protocol
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -83,6 +83,12 @@
             self._tick()
             await asyncio.sleep(TICK_S)
 
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes the socket and drops the calls under way."""
+        if self.runner.socket is not None:
+            self.runner.socket.close()
+        self.runner.close()
+
     def live(self) -> bool:
         """Whether this node's lease is valid at this moment."""
         return self.member is not None and self.member.holder.live(
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -1,5 +1,6 @@
 """Wires the tasks of one node together."""
 
+import asyncio
 import secrets
 
 import aiomisc
@@ -27,7 +28,7 @@
 from auburnrock.targets import base as targets_base
 
 RANDOM_BITS = 20
-UPKEEP_INTERVAL_MS = 1_000
+UPKEEP_INTERVAL_MS = 200
 
 
 def new_incarnation() -> int:
@@ -108,13 +109,14 @@
         self.next_ms = 0
 
     def on_tick(self, now_ms: int) -> None:
-        """Writes open quarantine records; each second forgets old state."""
-        self.node.quarantine.tick(now_ms)
-        self.node.executor.results.expire(clock.wall_ms())
-        self.node.results.tick(now_ms)
+        """Writes open quarantine records and forgets old state."""
+        self.node.note_end()
         if now_ms < self.next_ms:
             return
         self.next_ms = now_ms + UPKEEP_INTERVAL_MS
+        self.node.quarantine.tick(now_ms)
+        self.node.executor.results.expire(clock.wall_ms())
+        self.node.results.tick(now_ms)
         self.node.entry_router.forget_ended()
 
 
@@ -125,6 +127,8 @@
       settings: its settings.
       event_log: its log and time line.
       incarnation: number of this start.
+      ended: set once other nodes have ended this incarnation, as after a
+        long freeze; the process goes on with a new one.
       sync: owns the replica.
       lease: holds the lease.
       target: knows the target beside it.
@@ -145,6 +149,7 @@
         self.platform = platform
         self.event_log = event_log
         self.incarnation = new_incarnation()
+        self.ended = asyncio.Event()
         self.peers = frames.PeerConnections(_NoRequests(event_log))
         self.sync = store_sync.StoreSync(
             platform, self.peers, self.incarnation, event_log
@@ -225,6 +230,15 @@
             self.target,
         ]
 
+    def note_end(self) -> None:
+        """Notes when this incarnation was ended by other nodes."""
+        member = self.lease.member
+        if member is None or self.ended.is_set():
+            return
+        if member.holder.ended and not member.holder.leaving:
+            self.event_log.write("incarnation_ended")
+            self.ended.set()
+
     def begin_drain(self) -> None:
         """Begins to give away all that this node owns."""
         if self.lease.member is not None:
--- a/src/auburnrock/shells/planned_stop.py
+++ b/src/auburnrock/shells/planned_stop.py
@@ -39,6 +39,15 @@
         await self._end_record()
         node.event_log.write("stop_done")
 
+    async def finish_requests(self) -> None:
+        """Returns when the requests in progress have their answers.
+
+        For an incarnation that has ended: it owns nothing to give away.
+        """
+        self.node.front.accepting = False
+        await self.node.front.close_port()
+        await self._until(self._idle, self.limit_s)
+
     def _gave_all_away(self) -> bool:
         node = self.node
         if node.lease.member is None:
--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -16,7 +16,10 @@
 
 FRESH_CONNECTIONS = 8
 CONTROL_CONNECTIONS = 2
-CONTROL_TIMEOUT_MS = 500
+CONTROL_TIMEOUT_MS = 250
+"""Short, so that an order lost on a silent connection is sent again on a new
+one while the grant before it still lasts."""
+
 _MILLISECONDS_PER_SECOND = 1_000
 
 # Headers of one connection (RFC 9110, 7.6.1) and those that the client sets.
@@ -86,7 +89,7 @@
       address: host:port of the target.
       pooled: session whose connections are used again.
       fresh: session that makes a connection for each request.
-      control: the same, for orders, so that they wait behind no work.
+      control: session for orders, so that they wait behind no work.
     """
 
     def __init__(
@@ -279,5 +282,5 @@
         address,
         pooled=http_client.make_session(kept, IDLE_LIMIT_S),
         fresh=http_client.make_session(FRESH_CONNECTIONS, None),
-        control=http_client.make_session(CONTROL_CONNECTIONS, None),
+        control=http_client.make_session(CONTROL_CONNECTIONS, IDLE_LIMIT_S),
     )
