Keep what an idle owner knows until something changes

Ruled out: ticking less often, which would delay every move. Change: OwnShards holds the owned, moving, claimable and grantable shards and the memory of released epochs; Releases looks only at shards with work.

--- a/src/auburnrock/engine/hand_over.py
+++ b/src/auburnrock/engine/hand_over.py
@@ -58,6 +58,12 @@
     ]
 
 
+def has_candidates(view: view_lib.View, service: str, without: int) -> bool:
+    """Whether another node may be given shards of a service."""
+    serving = view.members.serving(service)
+    return any(record.incarnation != without for record in serving)
+
+
 def change_page(
     page: pages_lib.Page,
     shards: list[Ready],
--- a/src/auburnrock/engine/release.py
+++ b/src/auburnrock/engine/release.py
@@ -22,8 +22,8 @@
 from auburnrock.engine import chart
 from auburnrock.engine import grants as grants_lib
 from auburnrock.engine import hand_over
-from auburnrock.engine import hot_keys
 from auburnrock.engine import in_force as in_force_lib
+from auburnrock.engine import own_shards
 from auburnrock.engine import owner_choice
 from auburnrock.engine import page_change
 from auburnrock.engine import pages as pages_lib
@@ -47,7 +47,7 @@
     MOVING: it may soon, here or elsewhere; hold it within its deadline.
     NOT_OWNER: another node owns the shard, or nobody.
     NO_LEASE: this node's lease is not live.
-    NO_TARGET: the target beside this node has ended or is silent.
+    NO_TARGET: no target of the service is beside this node.
     BEHIND: this node's configuration is too old for the shard.
     """
 
@@ -108,7 +108,7 @@
       chooser: chooses the next owners of shards that have to go.
       work: counts work under way.
       releases: releases on their way, by service and shard.
-      released: the highest epoch that this node released, of each shard.
+      own: the shards that this node owns and those it released.
       leaving: whether this node gives all its shards away.
     """
 
@@ -128,14 +128,11 @@
         self.chooser = chooser
         self.work = work
         self.releases: dict[str, dict[int, Release]] = {}
-        self.released: dict[str, dict[int, int]] = {}
+        self.own = own_shards.OwnShards(incarnation, view, configuration)
         self.leaving = False
-        self._owned: list[pages_lib.ServiceShard] = []
         self._pause_until_ms: dict[pages_lib.ServiceShard, int] = {}
         self._writer = record_writer.RecordWriter(PART, incarnation)
         self._written: dict[str, page_change.PageChange] = {}
-        self._hot_keys = hot_keys.HotKeys(incarnation, view, configuration)
-        self._note_owned()
 
     def admission(
         self, service: str, shard: int, lease_is_live: bool
@@ -148,9 +145,9 @@
             return Admission.NOT_OWNER
         if shard in self.releases.get(service, ()):
             return Admission.MOVING
-        if entry.epoch <= self.released.get(service, {}).get(shard, 0):
+        if entry.epoch <= self.own.released_epoch(service, shard):
             return Admission.NOT_OWNER
-        if not self._hot_keys.are_known(service, shard):
+        if not self.own.hot_keys.are_known(service, shard):
             return Admission.BEHIND
         target = self.grants.target
         if target is None or target.service != service:
@@ -170,18 +167,12 @@
         target = self.grants.target
         if target is None:
             return []
-        return [
-            targets_base.GrantedShard(each.shard, entry.epoch)
-            for each, entry in self._entries()
-            if each.service == target.service
-            and entry.epoch > self._released_epoch(each)
-            and self._hot_keys.are_known(each.service, each.shard)
-        ]
+        return self.own.grantable(target.service)
 
     def on_change(self, changed: list[str], now_ms: int) -> None:
         """Takes in keys of the replica that changed."""
         if any(key.startswith(records.PAGES_PREFIX) for key in changed):
-            self._note_owned()
+            self.own.refresh()
 
     def leave(self) -> None:
         """Begins to give all shards away, for a planned stop."""
@@ -193,10 +184,11 @@
 
     def is_empty(self) -> bool:
         """Whether this node owns nothing any more."""
-        return not self._owned
+        return not self.own.owned
 
     def tick(self, now_ms: int) -> list[actions.Action]:
         """Advances the releases and hands over what is released."""
+        self.own.check_configuration()
         self._begin(now_ms)
         asked: list[actions.Action] = []
         for releases in list(self.releases.values()):
@@ -221,20 +213,6 @@
             actions.LogEvent("shards_handed_over", fields),
         ]
 
-    def _note_owned(self) -> None:
-        self._owned = self.view.pages.shards_of(self.incarnation)
-        self._hot_keys.note_owned(self._owned)
-
-    def _entries(
-        self,
-    ) -> list[tuple[pages_lib.ServiceShard, records.ShardEntry]]:
-        """The shards that this node owns and their entries."""
-        owner = self.view.pages.owner
-        return [(each, owner(each.service, each.shard)) for each in self._owned]
-
-    def _released_epoch(self, shard: pages_lib.ServiceShard) -> int:
-        return self.released.get(shard.service, {}).get(shard.shard, 0)
-
     def _release_of(self, shard: pages_lib.ServiceShard) -> Release | None:
         return self.releases.get(shard.service, {}).get(shard.shard)
 
@@ -247,37 +225,40 @@
             return False
         return self.grants.has_surely_ended(now_ms)
 
+    def _must_all_go(self, service: str, now_ms: int) -> bool:
+        return self.leaving or self._target_ended(service, now_ms)
+
     def _begin(self, now_ms: int) -> None:
-        for shard, entry in self._entries():
-            if self._release_of(shard) is not None:
+        if not self.own.owned:
+            return
+        services = {shard.service for shard in self.own.owned}
+        all_go = any(self._must_all_go(each, now_ms) for each in services)
+        for shard in self.own.owned if all_go else self.own.with_work:
+            paused = now_ms < self._pause_until_ms.get(shard, 0)
+            if self._release_of(shard) is not None or paused:
                 continue
-            if entry.epoch <= self._released_epoch(shard):
-                continue
-            if now_ms < self._pause_until_ms.get(shard, 0):
+            if not self.own.is_held(shard):
                 continue
             to = self._wanted_owner(shard, now_ms)
             if to is not None:
-                self._start(shard, entry.epoch, to, now_ms)
+                self._start(shard, self.own.entry(shard).epoch, to, now_ms)
 
     def _wanted_owner(
         self, shard: pages_lib.ServiceShard, now_ms: int
     ) -> int | None:
         """Where a shard has to go; NO_OWNER if anywhere, None if nowhere."""
-        if self.leaving or self._target_ended(shard.service, now_ms):
-            if hand_over.candidates(self.view, shard.service, self.incarnation):
-                return records.NO_OWNER
-            return None
-        to = self._move_of(shard)
+        if self._must_all_go(shard.service, now_ms):
+            others = hand_over.has_candidates(
+                self.view, shard.service, self.incarnation
+            )
+            return records.NO_OWNER if others else None
+        to = self.own.move_of(shard)
         if to is not None and hand_over.can_own(self.view, shard.service, to):
             return to
-        if self._hot_keys.needs_rotation(shard):
+        if self.own.hot_keys.needs_rotation(shard):
             return self.incarnation
         return None
 
-    def _move_of(self, shard: pages_lib.ServiceShard) -> int | None:
-        page = self.view.pages.page_of(shard.service, shard.shard)
-        return page.record.moving.get(shard.shard)
-
     def _start(
         self, shard: pages_lib.ServiceShard, epoch: int, to: int, now_ms: int
     ) -> None:
@@ -347,9 +328,7 @@
         release.since_ms = now_ms
         service, shard = release.shard.service, release.shard.shard
         if transition.do == "remember":
-            released = self.released.setdefault(service, {})
-            assert released.get(shard, 0) < release.epoch, "released twice"
-            released[shard] = release.epoch
+            self.own.remember(release.shard, release.epoch)
         if transition.to == "keeping":
             self._pause_until_ms[release.shard] = now_ms + RETRY_PAUSE_MS
         if _CHART.is_final(release.state):
@@ -367,7 +346,7 @@
                     release.shard.service, release.shard.shard
                 )
                 ready.setdefault(page.key, []).append(item)
-        for key, shards in self._hot_keys.claims().items():
+        for key, shards in self.own.claims.items():
             ready.setdefault(key, [])
             ready[key] += [hand_over.Ready(n, self.incarnation) for n in shards]
         asked: list[actions.Action] = []
@@ -412,13 +391,13 @@
         self, page: pages_lib.Page, items: list[hand_over.Ready]
     ) -> int:
         service = page.record.service
-        known = self._hot_keys.known(service)
+        known = self.own.hot_keys.known(service)
         kept = [
             pages_lib.ServiceShard(service, item.shard)
             for item in items
             if item.to == self.incarnation
         ]
-        if any(self._hot_keys.needs_rotation(home) for home in kept):
+        if any(self.own.hot_keys.needs_rotation(home) for home in kept):
             return max(page.record.hot_keys, known)
         return page.record.hot_keys
 
--- a/tests/cover/test_release.py
+++ b/tests/cover/test_release.py
@@ -162,7 +162,7 @@
 def forget_failed_writes(self, result, now_ms):
     if result.outcome == actions.StoreOutcome.UNKNOWN:
         self.releases.clear()
-        self.released.clear()
+        self.own.released.clear()
     self._writer.on_result(result, now_ms)
     return []
 
