Stop serving one shard first, the rest once the store works

Cause: a node that was told to leave in an outage of the store stopped serving every shard and could hand over none until the store was back. Ruled out: asking the store first (a read proves nothing about the next write); taking a released shard back (its late write may land). Change: without a hand-over that took effect within the last second, at most one release is under way. Shards whose target has ended are not held back.

--- a/src/auburnrock/engine/release.py
+++ b/src/auburnrock/engine/release.py
@@ -34,6 +34,8 @@
 PART = "release"
 DRAIN_MARGIN_MS = 500
 """How much longer than a request's deadline its work may take to end."""
+STORE_TRUST_MS = 1_000
+"""How long a write that took effect shows that the store works."""
 RETRY_PAUSE_MS = 2_000
 """Time until a move that was given up is tried again."""
 
@@ -131,6 +133,7 @@
         self.own = own_shards.OwnShards(incarnation, view, configuration)
         self.leaving = False
         self._pause_until_ms: dict[pages_lib.ServiceShard, int] = {}
+        self._store_worked_ms = -STORE_TRUST_MS
         self._writer = record_writer.RecordWriter(PART, incarnation)
         self._written: dict[str, page_change.PageChange] = {}
 
@@ -206,6 +209,7 @@
         written = self._written.pop(key)
         if result.outcome != actions.StoreOutcome.DONE:
             return []
+        self._store_worked_ms = now_ms
         told = sorted(written.told - {self.incarnation})
         fields = [("key", key), ("changes", page_change.summary(written))]
         return [
@@ -240,9 +244,22 @@
             if not self.own.is_held(shard):
                 continue
             to = self._wanted_owner(shard, now_ms)
-            if to is not None:
+            if to is not None and self._may_start(shard.service, now_ms):
                 self._start(shard, self.own.entry(shard).epoch, to, now_ms)
 
+    def _may_start(self, service: str, now_ms: int) -> bool:
+        """Whether to stop serving one more shard.
+
+        A released shard is served by nobody until the store has taken the
+        hand-over. So one goes first, and the rest follow once it has worked;
+        in an outage of the store only that one waits.
+        """
+        if self._target_ended(service, now_ms):
+            return True
+        if now_ms - self._store_worked_ms < STORE_TRUST_MS:
+            return True
+        return not any(self.releases.values())
+
     def _wanted_owner(
         self, shard: pages_lib.ServiceShard, now_ms: int
     ) -> int | None:
--- a/tests/cover/test_release.py
+++ b/tests/cover/test_release.py
@@ -398,3 +398,16 @@
     owner.paused = False
     world.run(100)
     assert world.owner("a") is owner
+
+
+def test_a_node_that_leaves_in_a_store_outage_goes_on_serving():
+    world, owner, _ = started(shards=30)
+    world.mode = "down"
+    owner.releases.leave()
+    world.run(10_000)
+    shards = [shard.shard for shard in owner.releases.own.owned]
+    served = [n for n in shards if owner.releases.may_admit(SERVICE, n, True)]
+    assert len(served) >= len(shards) - 1 > 5
+    world.mode = "ok"
+    world.run(3_000)
+    assert owner.releases.is_empty()
