Refuse a key that was sent under another shard than its own

Cause: an owner admitted a request for the shard that the sender named. A sender with older settings names the former shard of a new hot key, whose owner may be another node than the key's. Ruled out: trusting the page's mark alone; it binds the owner, not the sender. Change: admission takes the key and checks its shard by the node's own settings. Callers must pass it; without it nothing changes. Conclusion: a test sends a hot key under its former shard.

--- a/src/auburnrock/engine/hot_keys.py
+++ b/src/auburnrock/engine/hot_keys.py
@@ -70,6 +70,13 @@
         required = self.view.pages.required_hot_keys(service, shard)
         return len(settings.hot_keys) >= required
 
+    def is_shard_of(self, service: str, shard: int, key: str) -> bool:
+        """Whether a key has this shard by this node's own settings."""
+        settings = self.configuration.settings(service)
+        if settings is None or not key:
+            return True
+        return keys.shard_of(settings, key) == shard
+
     def note_owned(self, owned: list[pages_lib.ServiceShard]) -> None:
         """Takes in which shards this node owns now."""
         starts = {}
--- a/src/auburnrock/engine/release.py
+++ b/src/auburnrock/engine/release.py
@@ -138,9 +138,17 @@
         self._written: dict[str, page_change.PageChange] = {}
 
     def admission(
-        self, service: str, shard: int, lease_is_live: bool
+        self, service: str, shard: int, lease_is_live: bool, key: str = ""
     ) -> Admission:
-        """Whether a request for a shard may start now. O(1)."""
+        """Whether a request for a shard may start now. O(1).
+
+        Args:
+          service: the service.
+          shard: the shard, as the sender worked it out.
+          lease_is_live: whether this node's lease is live.
+          key: the request's key. A sender with other settings may take it for
+            another shard's, so it must be passed for each request.
+        """
         if not lease_is_live:
             return Admission.NO_LEASE
         entry = self.view.pages.owner(service, shard)
@@ -150,6 +158,8 @@
             return Admission.MOVING
         if entry.epoch <= self.own.released_epoch(service, shard):
             return Admission.NOT_OWNER
+        if not self.own.hot_keys.is_shard_of(service, shard, key):
+            return Admission.NOT_OWNER
         if not self.own.hot_keys.are_known(service, shard):
             return Admission.BEHIND
         target = self.grants.target
--- a/tests/cover/test_release.py
+++ b/tests/cover/test_release.py
@@ -411,3 +411,16 @@
     world.mode = "ok"
     world.run(3_000)
     assert owner.releases.is_empty()
+
+
+def test_a_key_that_was_sent_under_its_former_shard_is_refused():
+    world, owner, _ = started()
+    former = owner.shard_of("a")
+    world.configure(3, ["a"])
+    world.run(500)
+    admission = owner.releases.admission
+    assert admission(SERVICE, former, True, "a") != release.Admission.SERVE
+    assert admission(SERVICE, 3, True, "a") == release.Admission.SERVE
+    other = next(n for n in range(100) if keys.hash_of(f"k{n}") % 3 == former)
+    served = admission(SERVICE, former, True, f"k{other}")
+    assert served == release.Admission.SERVE
