--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -182,6 +182,8 @@
     world = ownership.World()
     owner = world.settle()
     revision = world.store.revision
+    sent = owner.member.holder.renewals.sequence
+    world.run_until(lambda: owner.member.holder.renewals.sequence > sent)
     for process in world.processes:
         world.pause(process)
     world.run(5_000)
@@ -192,6 +194,33 @@
     assert world.store.revision == revision
 
 
+def test_a_restarted_witness_is_avoided_at_its_first_answer():
+    world = ownership.World()
+    owner = world.settle()
+    (first, *_), _ = world.witnesses_of(owner)
+    world.cut(first.address, [ownership.STORE])
+    world.restart(first)
+    world.run(timing.Timing().renewal_interval_ms + ownership.TICK_MS)
+    avoided = owner.member.holder.preferred.avoided_until_ms
+    assert first.incarnation in avoided
+
+
+def test_a_sealing_that_met_a_newer_record_is_begun_again_from_it():
+    world = ownership.World()
+    owner = world.settle()
+    (sealer, *_), _ = world.witnesses_of(owner)
+    sealer.refresh = lambda: None  # Its replica falls behind.
+    owner.member.holder.set_target("svc", "127.0.0.1:1", "t1", True)
+    world.run(200)
+    # Earlier failures of the store must not hold this up.
+    sealer.member.backoff.failures = 10
+    word = sealer.member.on_node_ended(sealer.now_ms(), owner.incarnation)
+    world.kill(owner)
+    sealer.perform(word)
+    world.run(300)
+    assert world.has_ended(owner.incarnation)
+
+
 def test_the_loss_of_two_witnesses_costs_less_than_a_second():
     world = ownership.World(names=7, zones=7)
     owner = world.settle()
