Take the ports of test processes below the outgoing range

Cause: a process started late found its port taken (one of two runs of tests/cover): ports came from 32768 up, where outgoing connections get theirs. Ruled out: a second daemon on the port; the test had not started one. Change: free_ports draws from 10000 to 32000. Figures: test_rebalancing and test_processes, 7 passed. Conclusion: an outgoing connection cannot take these ports here.

--- a/src/auburnrock_standins/processes.py
+++ b/src/auburnrock_standins/processes.py
@@ -5,6 +5,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -19,6 +20,8 @@
 
 START_LIMIT_S = 20.0
 POLL_S = 0.02
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 _SERVING = re.compile(r"event=serving address=(\S+)")
 
@@ -199,18 +202,19 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports that are free for both TCP and UDP now."""
+    """Ports that are free for both TCP and UDP now.
+
+    Below the range that systems give to outgoing connections: one of those
+    could take a port before a process that starts later binds it.
+    """
     with contextlib.ExitStack() as sockets:
         ports = []
         while len(ports) < count:
-            stream = sockets.enter_context(socket.socket())
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
-            datagram = sockets.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
+            port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
             with contextlib.suppress(OSError):
-                datagram.bind(("127.0.0.1", port))
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    opened = socket.socket(socket.AF_INET, kind)
+                    sockets.enter_context(opened).bind(("127.0.0.1", port))
                 ports.append(port)
     return ports
 
