--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -27,6 +27,14 @@
         """Handles the tick; must not block."""
 
 
+class TotalsListener(abc.ABC):
+    """Is given the load totals that nodes send to an assigner."""
+
+    @abc.abstractmethod
+    def on_total(self, total: messages.LoadTotal) -> None:
+        """Takes one in; must not block."""
+
+
 class LeaseTask(
     aiomisc.Service,
     datagrams.DatagramHandler,
@@ -43,6 +51,7 @@
       event_log: where events go.
       port: UDP port to listen on; the record may advertise another.
       listeners: are told the time after each tick.
+      totals: is given the load totals received; set when the node is wired.
       member: the engine's part; None before the replica is complete.
     """
 
@@ -63,6 +72,7 @@
         self.event_log = event_log
         self.port = port
         self.listeners: list[TickListener] = []
+        self.totals: TotalsListener | None = None
         self.member: member.Member | None = None
 
     async def start(self) -> None:
@@ -115,6 +125,10 @@
         """Handles a datagram; replies go to its sender."""
         if self.member is None:
             return
+        if isinstance(message, messages.LoadTotal):
+            if self.totals is not None:
+                self.totals.on_total(message)
+            return
         watermark = getattr(message, "watermark", 0)
         if watermark > self.sync.view.replica.revision:
             self.sync.on_hint(sender[0], sender[1], watermark)
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -19,6 +19,7 @@
 from auburnrock.shells import logs
 from auburnrock.shells import peer_server
 from auburnrock.shells import quarantine_task
+from auburnrock.shells import rebalance_task
 from auburnrock.shells import request_tally
 from auburnrock.shells import results_task
 from auburnrock.shells import router
@@ -92,6 +93,10 @@
         """Whether a shard is being released."""
         return any(self.assignment.releases.releases.values())
 
+    def on_grant_answered(self) -> None:
+        """Goes on with releases."""
+        self.assignment.on_grant_answered()
+
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """Notes what the target ran; see the base class."""
         return self.executor.on_target_ended()
@@ -192,6 +197,14 @@
             event_log,
         )
         self.executor.results_source = self.results
+        self.rebalance = rebalance_task.RebalanceTask(
+            settings,
+            self.assignment,
+            self.peers,
+            self.executor.meter,
+            event_log,
+        )
+        self.lease.totals = self.rebalance
         self.target.shards = TargetEvents(
             self.assignment, self.executor, self.quarantine
         )
@@ -215,6 +228,7 @@
         handler = peer_server.PeerHandler(
             self.executor, self.sync, self.results, event_log
         )
+        handler.figures = self.rebalance
         handler.traffic = self.runner.traffic
         self.peers.handler.traffic = self.runner.traffic
         self.peer_server = peer_server.PeerServer(
@@ -223,10 +237,15 @@
         self.sync.listeners += [
             self.assignment,
             self.results,
+            self.rebalance,
             self.quarantine,
             node_router,
         ]
-        self.lease.listeners += [self.assignment, Upkeep(self)]
+        self.lease.listeners += [
+            self.assignment,
+            self.rebalance,
+            Upkeep(self),
+        ]
         self.services: list[aiomisc.Service] = [
             self.front,
             self.sync,
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -41,6 +41,10 @@
     def is_moving(self) -> bool:
         """Whether a shard is being released."""
 
+    @abc.abstractmethod
+    def on_grant_answered(self) -> None:
+        """The target has answered a grant."""
+
     @abc.abstractmethod
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """The target has surely ended; returns records of what it ran."""
@@ -240,6 +244,7 @@
             self.on_ended("another incarnation answered")
         elif not answer.accepted:
             self.event_log.write("grant_refused")
+        self.shards.on_grant_answered()
 
     async def _on_no_answer(self, error: targets_base.TargetError) -> None:
         self.grants.on_no_answer()
