Answer a repeat under its own request id; check requests on real processes

Cause: the answer kept for a repeat held the target's echo of the first request's id, and a caller got that id beside its own. Found by the new tests on a small real fleet, whose oracle compares what callers were told with what the targets executed (their executions are printed, so that the killed ones count too). Ruled out: dropping the echo in the target's client, whose tests prove with it which request an answer belongs to. Change: the owner leaves our own headers out of a target's answer.

--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -20,6 +20,7 @@
 from auburnrock.shells import logs
 from auburnrock.shells import router
 from auburnrock.shells import target_slots
+from auburnrock.shells import wire
 from auburnrock.targets import base as targets_base
 
 _SHED_KINDS = frozenset(
@@ -341,7 +342,7 @@
             stream=request.stream,
             request_id=request.request_id,
             status=answer.status,
-            headers=answer.headers,
+            headers=_without_own(answer.headers),
             body=answer.body,
             owner=self.incarnation,
             epoch=epoch,
@@ -380,6 +381,18 @@
         return
 
 
+def _without_own(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Leaves out the headers that each answer is given anew.
+
+    A kept answer is given to repeats, whose request ids differ.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.lower().startswith(wire.OWN_HEADER_PREFIX)
+    ]
+
+
 def _outcome(error: targets_base.TargetError) -> concurrency_limit.Outcome:
     if isinstance(error, targets_base.LostError):
         if error.silent:
--- a/src/auburnrock/shells/wire.py
+++ b/src/auburnrock/shells/wire.py
@@ -18,6 +18,7 @@
 ANNOUNCE_PATH = protocol.ANNOUNCE_PATH
 HEALTH_PATH = protocol.HEALTH_PATH
 OWN_PREFIX = "/auburnrock/"
+OWN_HEADER_PREFIX = "auburnrock-"
 
 HOP_BY_HOP = frozenset(
     {
@@ -47,5 +48,5 @@
         (str(name), str(value))
         for name, value in headers.items()
         if name.lower() not in HOP_BY_HOP
-        and not name.lower().startswith("auburnrock-")
+        and not name.lower().startswith(OWN_HEADER_PREFIX)
     ]
--- a/src/auburnrock_standins/processes.py
+++ b/src/auburnrock_standins/processes.py
@@ -44,6 +44,7 @@
     service_time_ms: int = 5
     cold_start_ms: int = 0
     cold_service_time_ms: int = 50
+    print_executions: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/auburnrock_standins/target.py
+++ b/src/auburnrock_standins/target.py
@@ -28,6 +28,9 @@
 _COLD_SERVICE_TIME_MS = flags.DEFINE_integer(
     "cold_service_time_ms", 50, "how long a request runs while cold"
 )
+_PRINT_EXECUTIONS = flags.DEFINE_bool(
+    "print_executions", False, "print a line as each execution begins"
+)
 
 
 async def serve(
@@ -52,6 +55,7 @@
         service_time_ms=_SERVICE_TIME_MS.value,
         cold_start_ms=_COLD_START_MS.value,
         cold_service_time_ms=_COLD_SERVICE_TIME_MS.value,
+        print_executions=_PRINT_EXECUTIONS.value,
     )
     uvloop.run(serve(settings, _ADDRESS.value, _PORT.value, _NODE.value))
 
--- a/src/auburnrock_standins/target_server.py
+++ b/src/auburnrock_standins/target_server.py
@@ -35,6 +35,7 @@
     service_time_ms: int = 5
     cold_start_ms: int = 0
     cold_service_time_ms: int = 50
+    print_executions: bool = False
 
 
 class Call(msgspec.Struct):
@@ -230,6 +231,13 @@
             started_ms=clock.now_ms(),
         )
         self.executions.append(execution)
+        if self.settings.print_executions:
+            # Written at once: it must outlast the end of this process.
+            print(
+                f"event=execution request_id={call.request_id}"
+                f" idempotency_key={call.idempotency_key}",
+                flush=True,
+            )
         number = len(self.executions)
         self.running[number] = execution
         try:
--- /dev/null
+++ b/tests/cover/test_requests_processes.py
@@ -0,0 +1,185 @@
+"""Requests on real processes, checked against what the targets executed."""
+
+import asyncio
+
+import pytest
+import uuid_utils
+
+from auburnrock import errors
+from auburnrock_standins import processes
+from tests.common import request_fleet
+
+
+@pytest.fixture(scope="module")
+def started(tmp_path_factory):
+    services = [request_fleet.KEYED] * 3 + [request_fleet.UNKEYED] * 3
+    whole = request_fleet.RequestFleet(
+        tmp_path_factory.mktemp("fleet"),
+        request_fleet.spec_of(services),
+        processes.TargetSpec(service_time_ms=20),
+    )
+    with whole.deployment:
+        asyncio.run(whole.start())
+        yield whole
+
+
+@pytest.fixture
+async def fleet(started):
+    await started.reset()
+    return started
+
+
+@pytest.fixture
+async def callers(fleet):
+    made = request_fleet.Callers()
+    yield made
+    await made.close()
+    fleet.check(made)
+
+
+async def test_late_and_crossed_answers_reach_nobody_else(fleet, callers):
+    owner = await fleet.owner_of(callers, "a")
+    entry = fleet.other_than(owner)
+    await fleet.switch(owner, late_ms=30, cross_pairs=3)
+    seen = await asyncio.gather(
+        *(callers.call(entry, key="a", body=b"x" * n) for n in range(6)),
+        *(callers.deposit(entry, "a", body=b"x" * n) for n in range(6)),
+    )
+    for number, each in enumerate(seen):
+        assert each.kind in ("", "outcome_unknown", "overloaded"), each
+        if each.status == 200:
+            assert b'"body_bytes":%d}' % (number % 6) in each.body
+
+
+async def test_a_truncated_answer_is_never_passed_on(fleet, callers):
+    owner = await fleet.owner_of(callers, "a")
+    await fleet.switch(owner, truncate=1)
+    lost = await callers.deposit(owner, "a")
+    assert (lost.kind, lost.ran) == ("outcome_unknown", "unknown")
+    await fleet.switch(owner, truncate=1)
+    assert (await callers.call(owner, key="a")).status == 200
+
+
+async def test_silent_connections_cost_no_non_idempotent_request(
+    fleet, callers
+):
+    owner = await fleet.owner_of(callers, "a")
+    await asyncio.gather(*(callers.call(owner, key="a") for _ in range(10)))
+    await fleet.switch(owner, silence_connections=True)
+    seen = await asyncio.gather(
+        *(callers.deposit(owner, "a") for _ in range(10))
+    )
+    assert {each.status for each in seen} == {200}
+
+
+async def test_a_frozen_target_gets_its_work_at_most_once(fleet, callers):
+    owner = await fleet.owner_of(callers, "a")
+    entry = fleet.other_than(owner)
+    owner.target.freeze()
+    key = str(uuid_utils.uuid7())
+    first = await callers.deposit(
+        entry, "a", idempotency_key=key, deadline_ms=300
+    )
+    assert first.kind in ("outcome_unknown", "deadline_exceeded")
+    owner.target.thaw()
+    repeat = await callers.deposit(
+        owner, "a", idempotency_key=key, first_try=False
+    )
+    assert repeat.kind in ("", "outcome_unknown", "in_progress"), repeat
+
+
+@pytest.mark.parametrize("part", ["target", "daemon"])
+async def test_lost_owners_work_is_not_run_again(fleet, callers, part):
+    owner = await fleet.owner_of(callers, "a")
+    entry = fleet.other_than(owner)
+    keys = [str(uuid_utils.uuid7()) for _ in range(12)]
+
+    async def send(number, first_try):
+        return await callers.deposit(
+            entry, "a", idempotency_key=keys[number], first_try=first_try
+        )
+
+    done = await asyncio.gather(*(send(n, True) for n in range(6)))
+    assert {each.status for each in done} == {200}
+    running = [asyncio.create_task(send(n, True)) for n in range(6, 12)]
+    await asyncio.sleep(0.015)
+    getattr(owner, part).kill()
+    await asyncio.gather(*running)
+    for number in range(12):
+        repeat = await send(number, False)
+        assert repeat.kind in ("outcome_unknown", ""), repeat
+    fresh = await callers.deposit(entry, "a", deadline_ms=10_000)
+    assert fresh.status == 200
+
+
+async def test_unlocks_run_once_at_whichever_node_they_are_repeated(
+    fleet, callers
+):
+    hosts = fleet.hosts
+    keys = [str(uuid_utils.uuid7()) for _ in range(8)]
+    for entry in hosts[2:5]:
+        seen = await asyncio.gather(
+            *(
+                callers.unlock(
+                    entry, idempotency_key=key, first_try=entry is hosts[2]
+                )
+                for key in keys
+            )
+        )
+        assert {each.status for each in seen} == {200}
+
+
+async def test_work_goes_on_when_its_caller_leaves_and_is_not_repeated(
+    fleet, callers
+):
+    owner = await fleet.owner_of(callers, "a")
+    entry = fleet.other_than(owner)
+    key = str(uuid_utils.uuid7())
+    gone = asyncio.create_task(callers.deposit(entry, "a", idempotency_key=key))
+    await asyncio.sleep(0.01)
+    gone.cancel()
+    await asyncio.sleep(0.1)
+    repeat = await callers.deposit(
+        owner, "a", idempotency_key=key, first_try=False
+    )
+    assert repeat.status == 200
+    reads = [
+        asyncio.create_task(callers.call(entry, key="a", request_id=f"gone{n}"))
+        for n in range(30)
+    ]
+    await asyncio.sleep(0.005)
+    for task in reads:
+        task.cancel()
+    assert (await callers.call(entry, key="a")).status == 200
+
+
+async def test_deadlines_are_carried_and_kept(fleet, callers):
+    owner = await fleet.owner_of(callers, "a")
+    entry = fleet.other_than(owner)
+    await fleet.switch(owner, late_ms=1_000)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    seen = await callers.call(entry, key="a", deadline_ms=200)
+    assert seen.kind in ("outcome_unknown", "deadline_exceeded")
+    assert loop.time() - began_s < 0.9
+
+
+async def test_errors_are_of_the_closed_list(fleet, callers):
+    entry = fleet.hosts[0]
+    large = b"x" * 1_000_001
+    unnamed = await callers.call(entry, "POST", "/deposits", key="a")
+    cases = [
+        (await callers.call(entry, service="nobody"), "unknown_service"),
+        (await callers.call(entry), "missing_key"),
+        (unnamed, "missing_idempotency_key"),
+        (await callers.call(entry, key="a", body=large), "request_too_large"),
+        (await callers.call(entry, key="a", deadline_ms=0), "bad_request"),
+        (
+            await callers.deposit(entry, idempotency_key="no-uuid"),
+            "bad_request",
+        ),
+    ]
+    for seen, kind in cases:
+        assert seen.kind == kind, seen
+        assert seen.ran == "no"
+        assert seen.status == errors.ANSWERS[errors.ErrorKind(kind)].status
