Tell of a crash node to node, and notice it while sockets still close

Cause 1: a dying process closes its sockets one by one. Cause 2: the records went through the store alone. With the store frozen, or before the next node had read it, the next target met the request unwarned. Ruled out: a mark on the entry's repeat (a caller's own repeat at another node would lack it); waiting longer for the store (it may be down for long). Change: a probe counts only if its connection lasts 30 ms; the records go to the nodes of the service as an acknowledged frame, for at most 200 ms, before the loss is reported. Learnt records are not written again by each node, and one node, by rank, deletes expired records from the store, which nobody did. Deleting expired records is not covered by a test on processes (60 s at the least).

--- a/src/auburnrock/engine/quarantine.py
+++ b/src/auburnrock/engine/quarantine.py
@@ -28,6 +28,9 @@
 FIRST_QUARANTINE_MS = 60_000
 LONGEST_QUARANTINE_MS = 600_000
 CRASHES_TO_QUARANTINE = 2
+REMOVED_AFTER_MS = 60_000
+"""How long after its end a record stays in the store, for slow clocks."""
+
 MOST_RECORDS = 4_096
 NO_TICKET = -1
 CLEARED = 0
@@ -148,13 +151,13 @@
         known = self.known.get(record.fingerprint)
         if wall_ms >= suspicion_ends_ms(record) or not _replaces(record, known):
             return False
-        self._put(record)
+        self._put(record, is_own=False)
         return True
 
     def records_to_spread(self) -> list[records.QuarantineRecord]:
-        """Records that are news since the last call.
+        """Own records that are news since the last call.
 
-        Those with CRASHES_TO_QUARANTINE or more go to the store as well.
+        Learnt ones are spread by the node that they come from.
         """
         marks = list(self.unspread)
         self.unspread.clear()
@@ -181,7 +184,9 @@
             expires_at_ms=ends_ms,
         )
 
-    def _put(self, record: records.QuarantineRecord) -> None:
+    def _put(
+        self, record: records.QuarantineRecord, is_own: bool = True
+    ) -> None:
         self.known.pop(record.fingerprint, None)
         if len(self.known) >= MOST_RECORDS:
             oldest = min(
@@ -190,7 +195,8 @@
             )
             del self.known[oldest.fingerprint]
         self.known[record.fingerprint] = record
-        self.unspread[record.fingerprint] = None
+        if is_own:
+            self.unspread[record.fingerprint] = None
 
 
 def is_quarantined(record: records.QuarantineRecord) -> bool:
@@ -213,6 +219,11 @@
     return record.expires_at_ms
 
 
+def says_nothing(record: records.QuarantineRecord, wall_ms: int) -> bool:
+    """Whether a record may be removed by any clock within the margin."""
+    return wall_ms >= suspicion_ends_ms(record) + REMOVED_AFTER_MS
+
+
 def _bounded(
     wall_ms: int, record: records.QuarantineRecord
 ) -> records.QuarantineRecord:
--- a/src/auburnrock/messages.py
+++ b/src/auburnrock/messages.py
@@ -243,6 +243,18 @@
     data: bytes
 
 
+class Suspects(msgspec.Struct, array_like=True, tag=26):
+    """Tells of requests that crashed a target; answered by empty Results.
+
+    Attributes:
+      stream: number of the exchange on this connection.
+      data: list of records.QuarantineRecord in msgpack.
+    """
+
+    stream: int
+    data: bytes
+
+
 class Entry(msgspec.Struct, array_like=True):
     """One record of the replica; `data` is None for a deleted one."""
 
@@ -279,6 +291,7 @@
     | Delta
     | PullResults
     | Results
+    | Suspects
 )
 
 
--- a/src/auburnrock/shells/frames.py
+++ b/src/auburnrock/shells/frames.py
@@ -232,7 +232,10 @@
         self,
         host: str,
         port: int,
-        frame: messages.Request | messages.Pull | messages.PullResults,
+        frame: messages.Request
+        | messages.Pull
+        | messages.PullResults
+        | messages.Suspects,
         timeout_s: float,
         fresh_connection: bool = False,
     ) -> messages.Frame:
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -170,6 +170,7 @@
             self.incarnation,
             self.sync,
             self.runner,
+            self.peers,
             event_log,
         )
         self.results = results_task.ResultsTask(
@@ -200,7 +201,11 @@
             settings.largest_body_bytes,
         )
         handler = peer_server.PeerHandler(
-            self.executor, self.sync, self.results, event_log
+            self.executor,
+            self.sync,
+            self.results,
+            self.quarantine,
+            event_log,
         )
         self.peer_server = peer_server.PeerServer(
             settings.address, settings.peer_port, handler, self.peers
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -9,6 +9,7 @@
 from auburnrock.shells import executor
 from auburnrock.shells import frames
 from auburnrock.shells import logs
+from auburnrock.shells import quarantine_task
 from auburnrock.shells import results_task
 from auburnrock.shells import store_sync
 
@@ -22,6 +23,7 @@
       executor: runs requests at the target.
       sync: owns the replica.
       results: knows what this node remembers of released shards.
+      quarantine: is told of requests that crashed targets.
       event_log: where events go.
       running: task of each exchange in progress, by connection and stream.
     """
@@ -31,11 +33,13 @@
         request_executor: executor.Executor,
         sync: store_sync.StoreSync,
         results: results_task.ResultsTask,
+        quarantine: quarantine_task.QuarantineTask,
         event_log: logs.EventLog,
     ):
         self.executor = request_executor
         self.sync = sync
         self.results = results
+        self.quarantine = quarantine
         self.event_log = event_log
         self.running: dict[
             tuple[frames.FrameConnection, int], asyncio.Task
@@ -59,6 +63,9 @@
                 )
             case messages.PullResults():
                 connection.send(self.results.answer(frame))
+            case messages.Suspects():
+                self.quarantine.on_told(frame.data)
+                connection.send(messages.Results(frame.stream, b""))
             case _:
                 self.on_garbage(f"unexpected frame {type(frame).__name__}")
 
--- a/src/auburnrock/shells/quarantine_task.py
+++ b/src/auburnrock/shells/quarantine_task.py
@@ -1,21 +1,27 @@
-"""Spreads the records of requests that crashed targets through the store."""
+"""Spreads the records of requests that crashed targets.
+
+They go to the nodes of the service at once and to the store, which tells them
+to nodes that could not be reached or start later.
+"""
 
 import asyncio
 
 import msgspec
 
+from auburnrock import messages
 from auburnrock import records
 from auburnrock.engine import actions
+from auburnrock.engine import owner_choice
 from auburnrock.engine import quarantine as quarantine_lib
 from auburnrock.engine import record_writer
 from auburnrock.shells import action_runner
 from auburnrock.shells import clock
+from auburnrock.shells import frames
 from auburnrock.shells import logs
 from auburnrock.shells import store_sync
 
 PART = "quarantine"
 SPREAD_LIMIT_S = 0.2
-POLL_S = 0.01
 EXPIRE_INTERVAL_MS = 10_000
 
 
@@ -24,8 +30,10 @@
 
     Attributes:
       quarantine: this node's knowledge.
+      incarnation: this node's incarnation.
       sync: owner of the replica.
       runner: carries out actions.
+      peers: connections to the other nodes.
       event_log: where events go.
       unwritten: latest own record of each fingerprint that is not written.
     """
@@ -36,11 +44,14 @@
         incarnation: int,
         sync: store_sync.StoreSync,
         runner: action_runner.ActionRunner,
+        peers: frames.PeerConnections,
         event_log: logs.EventLog,
     ):
         self.quarantine = quarantine
+        self.incarnation = incarnation
         self.sync = sync
         self.runner = runner
+        self.peers = peers
         self.event_log = event_log
         self.unwritten: dict[str, records.QuarantineRecord] = {}
         self._writer = record_writer.RecordWriter(PART, incarnation)
@@ -64,21 +75,32 @@
 
     def tick(self, now_ms: int) -> None:
         """Writes what is left, forgets and removes what has expired."""
-        for record in self.quarantine.records_to_spread():
-            key = records.QUARANTINE_PREFIX + record.fingerprint
-            self.unwritten[key] = record
+        self._take_news()
         for key, record in list(self.unwritten.items()):
             if self._writer.may_write(key, now_ms):
                 self._write(key, records.encode_json(record))
         if now_ms >= self._expire_at_ms:
             self._expire_at_ms = now_ms + EXPIRE_INTERVAL_MS
             self.quarantine.expire(clock.wall_ms())
+            self._remove_expired(now_ms)
+
+    def on_told(self, data: bytes) -> None:
+        """Takes in records that another node sent."""
+        try:
+            told = msgspec.msgpack.decode(
+                data, type=list[records.QuarantineRecord]
+            )
+        except msgspec.DecodeError as error:
+            self.event_log.write("peer_garbage", reason=str(error))
+            return
+        for record in told:
+            self.quarantine.learn(clock.wall_ms(), record)
 
     async def spread(self, crashed: list[records.QuarantineRecord]) -> None:
-        """Writes the records of a crash; returns at the latest after a time.
+        """Tells the nodes of this service; returns at the latest after a time.
 
-        The caller reports the loss of the requests afterwards, so an entry
-        that sends one of them again finds its record in the store.
+        The caller reports the loss of the requests afterwards, so whoever
+        sends one of them again meets nodes that know of the crash.
         """
         for record in crashed:
             self.event_log.write(
@@ -87,11 +109,59 @@
                 crashes=record.crashes,
             )
         self.tick(clock.now_ms())
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + SPREAD_LIMIT_S
-        while self.unwritten and loop.time() < end_s:
-            await asyncio.sleep(POLL_S)
-        await self.sync.caught_up()
+        data = msgspec.msgpack.encode(crashed)
+        told = [
+            asyncio.create_task(self._tell(node, data))
+            for node in self._nodes_of_service()
+        ]
+        if told and crashed:
+            await asyncio.wait(told, timeout=SPREAD_LIMIT_S)
+
+    def _nodes_of_service(self) -> list[records.NodeRecord]:
+        members = self.sync.view.members
+        own = members.get(self.incarnation)
+        return [
+            record
+            for record in members.active()
+            if record.incarnation != self.incarnation
+            and (own is None or record.service == own.service)
+        ]
+
+    async def _tell(self, node: records.NodeRecord, data: bytes) -> None:
+        try:
+            await self.peers.exchange(
+                node.address,
+                node.peer_port,
+                messages.Suspects(0, data),
+                SPREAD_LIMIT_S,
+            )
+        except frames.PeerError as error:
+            self.event_log.write(
+                "suspects_not_told", node=node.name, reason=str(error)
+            )
+
+    def _take_news(self) -> None:
+        for record in self.quarantine.records_to_spread():
+            key = records.QUARANTINE_PREFIX + record.fingerprint
+            self.unwritten[key] = record
+
+    def _remove_expired(self, now_ms: int) -> None:
+        """Deletes expired records of the store that fall to this node."""
+        replica = self.sync.view.replica
+        active = [node.incarnation for node in self.sync.view.members.active()]
+        wall_ms = clock.wall_ms()
+        for value in replica.with_prefix(records.QUARANTINE_PREFIX):
+            record = _decode(value.data)
+            if record is not None and not quarantine_lib.says_nothing(
+                record, wall_ms
+            ):
+                continue
+            rank = owner_choice.rendezvous_rank(
+                value.key, self.incarnation, active
+            )
+            if rank == 0 and self._writer.may_write(value.key, now_ms):
+                swap = self._writer.swap(value.key, None, value.revision)
+                self.runner.run(self, [swap])
 
     def _write(self, key: str, data: bytes) -> None:
         value = self.sync.view.replica.get(key)
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -21,6 +21,11 @@
 
 TICK_S = 0.02
 PROBE_TIMEOUT_S = 0.2
+PROBE_PAUSE_S = 0.005
+ACCEPTED_FOR_S = 0.03
+"""How long a connection must last to prove that its target lives."""
+
+SPREAD_TIMEOUT_S = 0.2
 DEFAULTS = records.ServiceSettings()
 
 
@@ -140,7 +145,7 @@
         if self._ending is None and await self._refuses_connections():
             self.on_ended("its port refuses connections")
         if self._ending is not None:
-            await asyncio.wait([self._ending], timeout=PROBE_TIMEOUT_S)
+            await asyncio.wait([self._ending], timeout=SPREAD_TIMEOUT_S)
 
     def on_ended(self, reason: str) -> None:
         """Takes in that the target has surely ended."""
@@ -237,16 +242,47 @@
             self.on_ended("its port refuses connections")
 
     async def _refuses_connections(self) -> bool:
-        """Whether nothing listens any more where the target was."""
+        """Whether nothing listens any more where the target was.
+
+        A process that ends closes its sockets one by one, so a connection may
+        still be accepted just after another was lost. Such a one ends at
+        once, and the question is asked again.
+        """
         if self.announced is None:
             return False
         host, _, port = self.announced.address.rpartition(":")
-        try:
+        with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
+                while await _accepts_and_ends(host, int(port)):
+                    await asyncio.sleep(PROBE_PAUSE_S)
+        return await _refuses(host, int(port))
+
+
+async def _accepts_and_ends(host: str, port: int) -> bool:
+    """Whether a connection is accepted, and ended with nothing sent.
+
+    Raises OSError if there is no connection.
+    """
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        async with asyncio.timeout(ACCEPTED_FOR_S):
+            await reader.read(1)
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+    finally:
         writer.close()
+    return True
+
+
+async def _refuses(host: str, port: int) -> bool:
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
         return False
+    writer.close()
+    return False
--- a/tests/common/request_fleet.py
+++ b/tests/common/request_fleet.py
@@ -146,6 +146,7 @@
 
     async def reset(self) -> None:
         """Starts what ended and switches all failures off."""
+        self.fleet.platform.thaw()
         for host in self.hosts:
             host.daemon.thaw()
             host.target.thaw()
--- a/tests/cover/test_requests_processes.py
+++ b/tests/cover/test_requests_processes.py
@@ -88,6 +88,36 @@
     assert repeat.kind in ("", "outcome_unknown", "in_progress"), repeat
 
 
+@pytest.mark.parametrize("store", ["up", "frozen"])
+async def test_a_crashing_request_takes_down_two_targets_at_most(
+    fleet, callers, store
+):
+    hosts = [h for h in fleet.hosts if h.spec.service == request_fleet.UNKEYED]
+    for host in hosts:
+        await fleet.switch(host, crash_marker="poison")
+    innocent = asyncio.create_task(
+        callers.call(hosts[0], service=request_fleet.UNKEYED, body=b"innocent")
+    )
+    poison = f"a poison, store {store}".encode()
+    if store == "frozen":
+        fleet.fleet.platform.freeze()
+    for entry in hosts * 2:
+        seen = await callers.call(
+            entry, service=request_fleet.UNKEYED, body=poison
+        )
+        assert seen.status != 200
+    await innocent
+    ended = [h for h in hosts if h.target.popen.poll() is not None]
+    assert 1 <= len(ended) <= 2
+    assert seen.kind == "quarantined"
+    fleet.fleet.platform.thaw()
+    assert 59_000 <= seen.retry_after_ms <= 90_000
+    again = await callers.call(
+        hosts[0], service=request_fleet.UNKEYED, body=b"innocent"
+    )
+    assert again.status == 200
+
+
 @pytest.mark.parametrize("part", ["target", "daemon"])
 async def test_lost_owners_work_is_not_run_again(fleet, callers, part):
     owner = await fleet.owner_of(callers, "a")
