Let as much non-idempotent work run as the target has slots

Cause: work that must not repeat gets a connection of its own, and only 8 of the target's 120 connections were set aside for these. A target of 20 slots ran 8 such requests at a time; the rest waited unseen in the HTTP client, past the limits, and some for their whole deadline. Ruled out: giving all connections to such work; reads need theirs at once. Change: half of the connections each, 59 of 120. Conclusion: the new test saw a lost request before and 20 running after.

--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -14,8 +14,8 @@
 IDLE_LIMIT_S = 3.0
 """Idle connections are not used again after this: they may have gone silent."""
 
-FRESH_CONNECTIONS = 8
 CONTROL_CONNECTIONS = 2
+FEWEST_CONNECTIONS = 12
 CONTROL_TIMEOUT_MS = 500
 _MILLISECONDS_PER_SECOND = 1_000
 
@@ -269,15 +269,17 @@
       address: host:port of the target.
       connections: how many connections the target accepts; at least 12.
     """
-    kept = connections - FRESH_CONNECTIONS - CONTROL_CONNECTIONS
-    if kept < 2:
+    if connections < FEWEST_CONNECTIONS:
         raise ValueError(
             f"got {connections} connections for a target; needs at least"
-            f" {FRESH_CONNECTIONS + CONTROL_CONNECTIONS + 2}"
+            f" {FEWEST_CONNECTIONS}"
         )
+    # Either half may have to carry all that the target runs at a time.
+    fresh = (connections - CONTROL_CONNECTIONS) // 2
+    kept = connections - CONTROL_CONNECTIONS - fresh
     return HttpTarget(
         address,
         pooled=http_client.make_session(kept, IDLE_LIMIT_S),
-        fresh=http_client.make_session(FRESH_CONNECTIONS, None),
+        fresh=http_client.make_session(fresh, None),
         control=http_client.make_session(CONTROL_CONNECTIONS, None),
     )
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -281,3 +281,18 @@
         await asyncio.sleep(0.05)
         assert clock.now_ms() - began_ms >= 100
         assert (await target.client.run(standins.work())).status == 200
+
+
+async def test_as_much_runs_on_fresh_connections_as_the_target_has_slots():
+    """Non-idempotent work always runs on those."""
+    async with standins.target(service_time_ms=1_000) as target:
+        runs = [
+            asyncio.create_task(target.client.run(standins.work(f"r{n}"), True))
+            for n in range(20)
+        ]
+        most = 0
+        while not runs[0].done():
+            most = max(most, (await target.client.load()).running)
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*runs)
+    assert most == 20
