--- a/src/auburnrock/messages.py
+++ b/src/auburnrock/messages.py
@@ -286,6 +286,18 @@
     data: bytes
 
 
+class Suspects(msgspec.Struct, array_like=True, tag=28):
+    """Tells of requests that crashed a target; answered by empty Results.
+
+    Attributes:
+      stream: number of the exchange on this connection.
+      data: list of records.QuarantineRecord in msgpack.
+    """
+
+    stream: int
+    data: bytes
+
+
 class Entry(msgspec.Struct, array_like=True):
     """One record of the replica; `data` is None for a deleted one."""
 
@@ -324,6 +336,7 @@
     | Results
     | PullFigures
     | Figures
+    | Suspects
 )
 
 
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -134,11 +134,13 @@
         self._run(self.assigner.on_store_result(result, now_ms))
         self._run(self.releases.on_store_result(result, now_ms))
 
-    def admit(self, service: str, shard: int) -> int | errors.Failure:
+    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, or why not; see executor.Admission."""
         if shard < 0:
             return self._admit_any(service)
-        admission = self.releases.admission(service, shard, self.lease.live())
+        admission = self.releases.admission(
+            service, shard, self.lease.live(), key
+        )
         if admission is not release.Admission.SERVE:
             return _REFUSALS[admission]
         return self.sync.view.pages.owner(service, shard).epoch
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -22,6 +22,7 @@
 from auburnrock.shells import logs
 from auburnrock.shells import router
 from auburnrock.shells import target_slots
+from auburnrock.shells import wire
 from auburnrock.targets import base as targets_base
 
 _SHED_KINDS = frozenset(
@@ -33,7 +34,7 @@
     """Says whether this node may run work on a shard now."""
 
     @abc.abstractmethod
-    def admit(self, service: str, shard: int) -> int | errors.Failure:
+    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, 0 for a service not divided by key."""
 
     @abc.abstractmethod
@@ -141,7 +142,9 @@
         self, request: messages.Request
     ) -> messages.Response | messages.Refusal:
         """Runs one request, or refuses it with the true reason."""
-        epoch = self.admission.admit(request.service, request.shard)
+        epoch = self.admission.admit(
+            request.service, request.shard, _owned_by(request)
+        )
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
         if request.shard >= 0:
@@ -316,7 +319,9 @@
         self, request: messages.Request, running: Running, is_second: bool
     ) -> Sent:
         """Sends to the target; the ownership is checked just before."""
-        epoch = self.admission.admit(request.service, request.shard)
+        epoch = self.admission.admit(
+            request.service, request.shard, _owned_by(request)
+        )
         if isinstance(epoch, errors.Failure):
             return self._not_sent(request, epoch)
         target = self.admission.target()
@@ -358,7 +363,7 @@
             stream=request.stream,
             request_id=request.request_id,
             status=answer.status,
-            headers=answer.headers,
+            headers=_without_own(answer.headers),
             body=answer.body,
             owner=self.incarnation,
             epoch=epoch,
@@ -397,6 +402,18 @@
         return
 
 
+def _without_own(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Leaves out the headers that each answer is given anew.
+
+    A kept answer is given to repeats, whose request ids differ.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.lower().startswith(wire.OWN_HEADER_PREFIX)
+    ]
+
+
 def _outcome(error: targets_base.TargetError) -> concurrency_limit.Outcome:
     if isinstance(error, targets_base.LostError):
         if error.silent:
@@ -407,6 +424,11 @@
     return concurrency_limit.Outcome.ABANDONED
 
 
+def _owned_by(request: messages.Request) -> str:
+    """What the request's shard was worked out from; see keys.routing_key."""
+    return request.key or request.idempotency_key
+
+
 def _mark(request: messages.Request) -> str:
     return quarantine_lib.fingerprint(
         request.service,
--- a/src/auburnrock/shells/frames.py
+++ b/src/auburnrock/shells/frames.py
@@ -245,7 +245,8 @@
         frame: messages.Request
         | messages.Pull
         | messages.PullResults
-        | messages.PullFigures,
+        | messages.PullFigures
+        | messages.Suspects,
         timeout_s: float,
         fresh_connection: bool = False,
     ) -> messages.Frame:
