Refuse a late grant at the stand-in target

Cause: a grant that arrived late dropped a shard granted since, and the target then refused that shard's epoch for good. Ruled out: ordering by epochs alone (the late grant names no lower epoch). Change: the stand-in refuses a grant whose node and sequence are not above the last it accepted, as targets/base.py asks; a test failed first. A test of the frozen daemon waits until its shards have gone; it had read them once, too soon.

--- a/src/auburnrock_standins/grants.py
+++ b/src/auburnrock_standins/grants.py
@@ -16,6 +16,7 @@
       epochs: epoch of each granted shard.
       valid_until_ms: end of the grant.
       lowest_epochs: for each shard, epochs below this are refused.
+      last: node and sequence of the latest accepted grant.
     """
 
     def __init__(self, incarnation: str):
@@ -23,6 +24,7 @@
         self.epochs: dict[int, int] = {}
         self.valid_until_ms = 0
         self.lowest_epochs: dict[int, int] = {}
+        self.last = (0, 0)
 
     def refusal(self, grant: base.Grant, now_ms: int) -> str | None:
         """Why a grant is refused; None if it can be accepted."""
@@ -30,6 +32,8 @@
             return f"it is for target {grant.target_incarnation}"
         if grant.valid_until_ms <= now_ms:
             return f"it ended {now_ms - grant.valid_until_ms} ms ago"
+        if (grant.node, grant.sequence) <= self.last:
+            return "a later one was accepted"
         for granted in grant.shards:
             lowest = self.lowest_epochs.get(granted.shard, 0)
             if granted.epoch < lowest:
@@ -50,6 +54,7 @@
             if shard not in epochs:
                 self.lowest_epochs[shard] = epoch + 1
         self.lowest_epochs.update(epochs)
+        self.last = (grant.node, grant.sequence)
         self.epochs = epochs
         self.valid_until_ms = grant.valid_until_ms
 
--- a/tests/common/standins.py
+++ b/tests/common/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 import contextlib
+import itertools
 
 from auburnrock.platform import http as platform_http
 from auburnrock.shells import clock
@@ -122,12 +123,19 @@
     return base.Work(request_id=request_id, **fields)
 
 
+_sequences = itertools.count(1)
+
+
 def grant(
     incarnation: str, shards: dict[int, int], left_ms: int = 60_000
 ) -> base.Grant:
-    """A grant of shards at epochs, which ends in `left_ms`."""
+    """A grant of shards at epochs, which ends in `left_ms`.
+
+    Each one is later than the one made before.
+    """
     return base.Grant(
         node=1,
+        sequence=next(_sequences),
         target_incarnation=incarnation,
         valid_until_ms=clock.now_ms() + left_ms,
         shards=[base.GrantedShard(s, e) for s, e in shards.items()],
--- a/tests/cover/test_node_processes.py
+++ b/tests/cover/test_node_processes.py
@@ -66,6 +66,11 @@
         await until(is_ended)
         host.daemon.thaw()
         await until(is_back)
-        assert former not in (await preparation.owners(platform)).values()
+
+        async def is_replaced() -> bool:
+            owners = await preparation.owners(platform)
+            return former not in owners.values()
+
+        await until(is_replaced)
         assert host.daemon.terminate() == 0
         await platform.close()
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -232,6 +232,17 @@
     assert holder.allows(3, 8, clock.now_ms())
 
 
+def test_a_late_grant_undoes_no_later_one():
+    holder = grants.GrantHolder("t1")
+    late = standins.grant("t1", {3: 7})
+    holder.accept(standins.grant("t1", {3: 7, 4: 1}))
+    assert holder.refusal(late, clock.now_ms())
+    of_former_node = standins.grant("t1", {3: 7})
+    of_former_node.node = 0
+    assert holder.refusal(of_former_node, clock.now_ms())
+    assert holder.allows(4, 1, clock.now_ms())
+
+
 async def test_reports_lie_and_lag_as_switched():
     async with standins.target(service_time_ms=60_000) as target:
         switches = target_switches.TargetSwitches(
