--- a/src/auburnrock/programs/auburnrockd.py
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -4,9 +4,6 @@
 """
 
 import asyncio
-import contextlib
-import enum
-import os
 import signal
 import sys
 
@@ -30,15 +27,7 @@
     "settings", None, "JSON file with the daemon's settings"
 )
 WRONG_SETTINGS_EXIT_CODE = 2
-ENDED_CHECK_S = 0.1
-LAST_REQUESTS_S = 2.0
-
-
-class End(enum.Enum):
-    """Why a node no longer runs."""
-
-    STOPPED = "stopped"
-    ENDED_BY_OTHERS = "ended_by_others"
+TIMING = timing_lib.Timing()
 
 
 def main(_arguments: list[str]) -> int:
@@ -51,24 +40,43 @@
     except settings_lib.SettingsError as error:
         print(error, file=sys.stderr)
         return WRONG_SETTINGS_EXIT_CODE
-    if uvloop.run(serve(settings)) is End.ENDED_BY_OTHERS:
-        # As a restarted process would, with nothing left of the former node.
-        os.execv(sys.executable, sys.orig_argv)
+    uvloop.run(serve(settings))
     return 0
 
 
-async def serve(settings: settings_lib.DaemonSettings) -> End:
-    """Runs one node until it is told to stop, or others have ended it.
+async def serve(settings: settings_lib.DaemonSettings) -> None:
+    """Runs one incarnation after another until it is told to stop.
 
-    One that others have ended, as after a long pause, can never serve again.
+    An incarnation that other nodes have ended, as after a long freeze, never
+    serves again; the process goes on with a new one.
     """
     event_log = logs.event_log(settings.name)
     platform = http_platform.connect(settings.platform)
-    node = node_lib.Node(settings, platform, event_log, timing_lib.Timing())
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    while not stopping.is_set():
+        node = node_lib.Node(settings, platform, event_log, TIMING)
+        running = asyncio.create_task(run_incarnation(node, stopping))
+        stopped = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [running, stopped], return_when=asyncio.FIRST_COMPLETED
+        )
+        stopped.cancel()
+        if not node.sync.ready.is_set():
+            # Nothing was begun: the store has not answered yet.
+            running.cancel()
+        await asyncio.wait([running])
+        if not running.cancelled():
+            running.result()
+    await platform.close()
+
+
+async def run_incarnation(node: node_lib.Node, stopping: asyncio.Event) -> None:
+    """Runs one incarnation until a planned stop or until it has ended."""
+    settings = node.settings
+    event_log = node.event_log
     event_log.write("started", incarnation=f"{node.incarnation:016x}")
     source = control_source.NodeControl(node, stopping.set)
     control = control_server.make_server(
@@ -83,25 +91,23 @@
     )
     services = [*node.services, control, metrics]
     async with aiomisc.entrypoint(
-        *services, loop=loop, log_config=False, catch_signals=()
+        *services,
+        loop=asyncio.get_running_loop(),
+        log_config=False,
+        catch_signals=(),
     ):
-        end = await _end_of(node, stopping)
-        if end is End.STOPPED:
-            await planned_stop.PlannedStop(node).run()
+        ended = asyncio.create_task(node.ended.wait())
+        stopped = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [ended, stopped], return_when=asyncio.FIRST_COMPLETED
+        )
+        ended.cancel()
+        stopped.cancel()
+        stop = planned_stop.PlannedStop(node)
+        if stopping.is_set():
+            await stop.run()
         else:
-            event_log.write("ended_by_others")
-            await node.front.finish(LAST_REQUESTS_S)
-    await platform.close()
-    return end
-
-
-async def _end_of(node: node_lib.Node, stopping: asyncio.Event) -> End:
-    while not node.lease.ended():
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ENDED_CHECK_S):
-                await stopping.wait()
-                return End.STOPPED
-    return End.ENDED_BY_OTHERS
+            await stop.finish_requests()
 
 
 def run() -> None:
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -1,5 +1,7 @@
 """The task that decides which shards this node serves and assigns others."""
 
+import asyncio
+
 from auburnrock import errors
 from auburnrock import records
 from auburnrock.engine import actions
@@ -16,6 +18,9 @@
 from auburnrock.shells import target_task
 from auburnrock.targets import base as targets_base
 
+CALM_TICK_MS = 100
+"""Time between looks while no shard is being released."""
+
 _REFUSALS = {
     release.Admission.MOVING: errors.Failure(
         errors.ErrorKind.MOVING, "the shard is being moved"
@@ -75,6 +80,8 @@
             incarnation, sync.view, self.chooser
         )
         self.releases: release.Releases | None = None
+        self.next_tick_ms = 0
+        self._is_advancing = False
 
     def set_work_count(self, work: release.WorkCount) -> None:
         """Completes the wiring with what counts the work under way."""
@@ -98,25 +105,42 @@
         self.releases.on_change(changed, now_ms)
         if any(key.startswith(records.PAGES_PREFIX) for key in changed):
             self.target_task.wake()
+            self._advance_soon()
 
     def on_tick(self, now_ms: int) -> None:
         """Goes on with what waits for time."""
+        is_moving = any(self.releases.releases.values())
+        if now_ms < self.next_tick_ms and not is_moving:
+            return
+        self.next_tick_ms = now_ms + CALM_TICK_MS
         self._run(self.assigner.tick(now_ms))
         self._run(self.releases.tick(now_ms))
         if any(self.releases.releases.values()):
             self.target_task.wake()
 
+    def on_idle(self, service: str, shard: int) -> None:
+        """Goes on at once with a release that waited for work to end."""
+        if shard in self.releases.releases.get(service, ()):
+            self._advance_soon()
+
+    def on_grant_answered(self) -> None:
+        """Goes on at once with the releases that waited for the target."""
+        if any(self.releases.releases.values()):
+            self._advance_soon()
+
     def on_store_result(self, result: actions.StoreResult) -> None:
         """Takes the result of a call to the store."""
         now_ms = clock.now_ms()
         self._run(self.assigner.on_store_result(result, now_ms))
         self._run(self.releases.on_store_result(result, now_ms))
 
-    def admit(self, service: str, shard: int) -> int | errors.Failure:
+    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, or why not; see executor.Admission."""
         if shard < 0:
             return self._admit_any(service)
-        admission = self.releases.admission(service, shard, self.lease.live())
+        admission = self.releases.admission(
+            service, shard, self.lease.live(), key
+        )
         if admission is not release.Admission.SERVE:
             return _REFUSALS[admission]
         return self.sync.view.pages.owner(service, shard).epoch
@@ -143,5 +167,18 @@
             )
         return 0
 
+    def _advance_soon(self) -> None:
+        # Once for all events of one turn of the loop, and after the results
+        # that belong to them.
+        if not self._is_advancing:
+            self._is_advancing = True
+            asyncio.get_running_loop().call_soon(self._advance)
+
+    def _advance(self) -> None:
+        self._is_advancing = False
+        self._run(self.releases.tick(clock.now_ms()))
+        # A grant without the shard lets the target confirm its release.
+        self.target_task.wake()
+
     def _run(self, asked: list[actions.Action]) -> None:
         self.runner.run(self, asked)
--- a/src/auburnrock/shells/end_prober.py
+++ b/src/auburnrock/shells/end_prober.py
@@ -8,23 +8,62 @@
 """
 
 import asyncio
+import contextlib
 
 from auburnrock import records
 from auburnrock.shells import lease_task
 
 INTERVAL_MS = 200
 TIMEOUT_S = 0.2
+PAUSE_S = 0.005
+ACCEPTED_FOR_S = 0.03
+"""How long a connection must last to prove that its target lives."""
 
 
 async def refuses_connections(address: str) -> bool:
-    """Whether nothing listens at host:port, as the host itself says."""
-    host, _, port = address.rpartition(":")
+    """Whether nothing listens at host:port, as the host itself says.
+
+    A process that ends closes its sockets one by one, so a connection may
+    still be accepted just after another was lost. Such a one ends at once, and
+    the question is asked again.
+    """
+    host, _, digits = address.rpartition(":")
+    try:
+        port = int(digits)
+    except ValueError:
+        return False
+    with contextlib.suppress(OSError, OverflowError):
+        async with asyncio.timeout(TIMEOUT_S):
+            while await _accepts_and_ends(host, port):
+                await asyncio.sleep(PAUSE_S)
+    return await _refuses(host, port)
+
+
+async def _accepts_and_ends(host: str, port: int) -> bool:
+    """Whether a connection is accepted, and ended with nothing sent.
+
+    Raises OSError if there is no connection.
+    """
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        async with asyncio.timeout(ACCEPTED_FOR_S):
+            await reader.read(1)
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+    finally:
+        writer.close()
+    return True
+
+
+async def _refuses(host: str, port: int) -> bool:
     try:
         async with asyncio.timeout(TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return True
-    except (OSError, ValueError, OverflowError):
+    except (OSError, OverflowError):
         return False
     writer.close()
     return False
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -14,12 +14,15 @@
 from auburnrock.engine import concurrency_limit
 from auburnrock.engine import idempotency
 from auburnrock.engine import limits
+from auburnrock.engine import pages as pages_lib
 from auburnrock.engine import quarantine as quarantine_lib
 from auburnrock.engine import release
+from auburnrock.engine.placement import meter as meter_lib
 from auburnrock.shells import clock
 from auburnrock.shells import logs
 from auburnrock.shells import router
 from auburnrock.shells import target_slots
+from auburnrock.shells import wire
 from auburnrock.targets import base as targets_base
 
 _SHED_KINDS = frozenset(
@@ -31,7 +34,7 @@
     """Says whether this node may run work on a shard now."""
 
     @abc.abstractmethod
-    def admit(self, service: str, shard: int) -> int | errors.Failure:
+    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, 0 for a service not divided by key."""
 
     @abc.abstractmethod
@@ -46,6 +49,10 @@
     def watermark(self) -> int:
         """The replica's watermark."""
 
+    @abc.abstractmethod
+    def on_idle(self, service: str, shard: int) -> None:
+        """Notes that no request of a shard waits for the target any more."""
+
 
 class CrashWatch(abc.ABC):
     """Finds out whether a lost connection was a crash of the target."""
@@ -102,6 +109,7 @@
       results_source: fills `results` when a shard is moved here; set when the
         node is wired.
       quarantine: requests that crashed targets.
+      meter: counts requests for the placement.
       running: requests at the target, by request id.
       counts: requests sent to the target and not ended, by service and shard.
       lost: requests given up without a whole answer, by service and shard.
@@ -123,6 +131,7 @@
         self.results = idempotency.ResultWindow(clock_margin_ms)
         self.results_source: ResultsSource | None = None
         self.quarantine = quarantine_lib.Quarantine()
+        self.meter = meter_lib.LoadMeter(clock.now_ms())
         self.running: dict[str, Running] = {}
         self.counts: collections.Counter = collections.Counter()
         self.lost: collections.Counter = collections.Counter()
@@ -133,9 +142,14 @@
         self, request: messages.Request
     ) -> messages.Response | messages.Refusal:
         """Runs one request, or refuses it with the true reason."""
-        epoch = self.admission.admit(request.service, request.shard)
+        epoch = self.admission.admit(
+            request.service, request.shard, _owned_by(request)
+        )
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
+        if request.shard >= 0:
+            place = pages_lib.ServiceShard(request.service, request.shard)
+            self.meter.arrived(place, request.key, clock.now_ms())
         if request.idempotent or request.shard < 0:
             return await self._run_with_place(request)
         return await self._run_at_most_once(request, epoch)
@@ -305,7 +319,9 @@
         self, request: messages.Request, running: Running, is_second: bool
     ) -> Sent:
         """Sends to the target; the ownership is checked just before."""
-        epoch = self.admission.admit(request.service, request.shard)
+        epoch = self.admission.admit(
+            request.service, request.shard, _owned_by(request)
+        )
         if isinstance(epoch, errors.Failure):
             return self._not_sent(request, epoch)
         target = self.admission.target()
@@ -327,8 +343,11 @@
         fresh = is_second or not request.idempotent
         place = (request.service, request.shard)
         self.counts[place] += 1
+        self.meter.sent(clock.now_ms())
+        is_done = False
         try:
             answer = await target.run(work, fresh)
+            is_done = True
         except targets_base.TargetError as error:
             return await self._failed(request, error)
         except asyncio.CancelledError:
@@ -337,11 +356,14 @@
             raise
         finally:
             self.counts[place] -= 1
+            self.meter.ended(clock.now_ms(), is_done)
+            if not self.counts[place]:
+                self.admission.on_idle(*place)
         response = messages.Response(
             stream=request.stream,
             request_id=request.request_id,
             status=answer.status,
-            headers=answer.headers,
+            headers=_without_own(answer.headers),
             body=answer.body,
             owner=self.incarnation,
             epoch=epoch,
@@ -380,6 +402,18 @@
         return
 
 
+def _without_own(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Leaves out the headers that each answer is given anew.
+
+    A kept answer is given to repeats, whose request ids differ.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.lower().startswith(wire.OWN_HEADER_PREFIX)
+    ]
+
+
 def _outcome(error: targets_base.TargetError) -> concurrency_limit.Outcome:
     if isinstance(error, targets_base.LostError):
         if error.silent:
@@ -390,6 +424,11 @@
     return concurrency_limit.Outcome.ABANDONED
 
 
+def _owned_by(request: messages.Request) -> str:
+    """What the request's shard was worked out from; see keys.routing_key."""
+    return request.key or request.idempotency_key
+
+
 def _mark(request: messages.Request) -> str:
     return quarantine_lib.fingerprint(
         request.service,
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -28,6 +28,14 @@
         """Handles the tick; must not block."""
 
 
+class TotalsListener(abc.ABC):
+    """Is given the load totals that nodes send to an assigner."""
+
+    @abc.abstractmethod
+    def on_total(self, total: messages.LoadTotal) -> None:
+        """Takes one in; must not block."""
+
+
 class LeaseTask(
     aiomisc.Service,
     datagrams.DatagramHandler,
@@ -44,6 +52,7 @@
       event_log: where events go.
       port: UDP port to listen on; the record may advertise another.
       listeners: are told the time after each tick.
+      totals: is given the load totals received; set when the node is wired.
       member: the engine's part; None before the replica is complete.
     """
 
@@ -65,6 +74,7 @@
         self.port = port
         self._containment = containment.Containment(event_log)
         self.listeners: list[TickListener] = []
+        self.totals: TotalsListener | None = None
         self.member: member.Member | None = None
 
     async def start(self) -> None:
@@ -88,16 +98,18 @@
             self._containment.run(self._tick)
             await asyncio.sleep(TICK_S)
 
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes the socket and drops the calls under way."""
+        if self.runner.socket is not None:
+            self.runner.socket.close()
+        self.runner.close()
+
     def live(self) -> bool:
         """Whether this node's lease is valid at this moment."""
         return self.member is not None and self.member.holder.live(
             clock.now_ms()
         )
 
-    def ended(self) -> bool:
-        """Whether this incarnation can never be live again."""
-        return self.member is not None and self.member.holder.ended
-
     def expires_at_ms(self) -> int:
         """When the lease ends without another renewal; 0 without a lease."""
         if self.member is None:
@@ -120,6 +132,10 @@
         """Handles a datagram; replies go to its sender."""
         if self.member is None:
             return
+        if isinstance(message, messages.LoadTotal):
+            if self.totals is not None:
+                self.totals.on_total(message)
+            return
         watermark = getattr(message, "watermark", 0)
         if watermark > self.sync.view.replica.revision:
             self._hint(message, sender, watermark)
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -1,5 +1,6 @@
 """Wires the tasks of one node together."""
 
+import asyncio
 import secrets
 
 import aiomisc
@@ -19,6 +20,7 @@
 from auburnrock.shells import logs
 from auburnrock.shells import peer_server
 from auburnrock.shells import quarantine_task
+from auburnrock.shells import rebalance_task
 from auburnrock.shells import request_tally
 from auburnrock.shells import results_task
 from auburnrock.shells import router
@@ -28,7 +30,7 @@
 from auburnrock.targets import base as targets_base
 
 RANDOM_BITS = 20
-UPKEEP_INTERVAL_MS = 1_000
+UPKEEP_INTERVAL_MS = 200
 
 
 def new_incarnation() -> int:
@@ -92,6 +94,10 @@
         """Whether a shard is being released."""
         return any(self.assignment.releases.releases.values())
 
+    def on_grant_answered(self) -> None:
+        """Goes on with releases."""
+        self.assignment.on_grant_answered()
+
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """Notes what the target ran; see the base class."""
         return self.executor.on_target_ended()
@@ -109,13 +115,14 @@
         self.next_ms = 0
 
     def on_tick(self, now_ms: int) -> None:
-        """Writes open quarantine records; each second forgets old state."""
-        self.node.quarantine.tick(now_ms)
-        self.node.executor.results.expire(clock.wall_ms())
-        self.node.results.tick(now_ms)
+        """Writes open quarantine records and forgets old state."""
+        self.node.note_end()
         if now_ms < self.next_ms:
             return
         self.next_ms = now_ms + UPKEEP_INTERVAL_MS
+        self.node.quarantine.tick(now_ms)
+        self.node.executor.results.expire(clock.wall_ms())
+        self.node.results.tick(now_ms)
         self.node.entry_router.forget_ended()
 
 
@@ -126,6 +133,8 @@
       settings: its settings.
       event_log: its log and time line.
       incarnation: number of this start.
+      ended: set once other nodes have ended this incarnation, as after a
+        long freeze; the process goes on with a new one.
       sync: owns the replica.
       lease: holds the lease.
       target: knows the target beside it.
@@ -146,6 +155,7 @@
         self.platform = platform
         self.event_log = event_log
         self.incarnation = new_incarnation()
+        self.ended = asyncio.Event()
         self.peers = frames.PeerConnections(_NoRequests(event_log))
         self.sync = store_sync.StoreSync(
             platform, self.peers, self.incarnation, event_log
@@ -178,6 +188,7 @@
             self.incarnation,
             self.sync,
             self.runner,
+            self.peers,
             event_log,
         )
         self.results = results_task.ResultsTask(
@@ -188,6 +199,14 @@
             event_log,
         )
         self.executor.results_source = self.results
+        self.rebalance = rebalance_task.RebalanceTask(
+            settings,
+            self.assignment,
+            self.peers,
+            self.executor.meter,
+            event_log,
+        )
+        self.lease.totals = self.rebalance
         self.target.shards = TargetEvents(
             self.assignment, self.executor, self.quarantine
         )
@@ -209,8 +228,13 @@
             settings.largest_body_bytes,
         )
         handler = peer_server.PeerHandler(
-            self.executor, self.sync, self.results, event_log
+            self.executor,
+            self.sync,
+            self.results,
+            self.quarantine,
+            event_log,
         )
+        handler.figures = self.rebalance
         handler.traffic = self.runner.traffic
         self.peers.handler.traffic = self.runner.traffic
         self.peer_server = peer_server.PeerServer(
@@ -219,12 +243,14 @@
         self.sync.listeners += [
             self.assignment,
             self.results,
+            self.rebalance,
             self.quarantine,
             node_router,
         ]
         self.lease.listeners += [
             self.assignment,
             end_prober.EndProber(self.lease),
+            self.rebalance,
             Upkeep(self),
         ]
         self.services: list[aiomisc.Service] = [
@@ -235,6 +261,15 @@
             self.target,
         ]
 
+    def note_end(self) -> None:
+        """Notes when this incarnation was ended by other nodes."""
+        member = self.lease.member
+        if member is None or self.ended.is_set():
+            return
+        if member.holder.ended and not member.holder.leaving:
+            self.event_log.write("incarnation_ended")
+            self.ended.set()
+
     def begin_drain(self) -> None:
         """Begins to give away all that this node owns."""
         if self.lease.member is not None:
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -1,5 +1,6 @@
 """The port for other nodes' requests and pulls, and for the client library."""
 
+import abc
 import asyncio
 
 import aiomisc
@@ -9,12 +10,21 @@
 from auburnrock.shells import executor
 from auburnrock.shells import frames
 from auburnrock.shells import logs
+from auburnrock.shells import quarantine_task
 from auburnrock.shells import results_task
 from auburnrock.shells import store_sync
 
 SILENCE_CHECK_S = 0.1
 
 
+class FiguresSource(abc.ABC):
+    """Knows the load of this node's shards."""
+
+    @abc.abstractmethod
+    def answer(self, pull: messages.PullFigures) -> messages.Figures:
+        """The figures for an assigner."""
+
+
 class PeerHandler(frames.FrameHandler):
     """Runs the requests and answers the pulls that peers send.
 
@@ -22,7 +32,9 @@
       executor: runs requests at the target.
       sync: owns the replica.
       results: knows what this node remembers of released shards.
+      quarantine: is told of requests that crashed targets.
       event_log: where events go.
+      figures: knows the load; set when the node is wired.
       running: task of each exchange in progress, by connection and stream.
     """
 
@@ -31,12 +43,15 @@
         request_executor: executor.Executor,
         sync: store_sync.StoreSync,
         results: results_task.ResultsTask,
+        quarantine: quarantine_task.QuarantineTask,
         event_log: logs.EventLog,
     ):
         self.executor = request_executor
         self.sync = sync
         self.results = results
+        self.quarantine = quarantine
         self.event_log = event_log
+        self.figures: FiguresSource | None = None
         self.running: dict[
             tuple[frames.FrameConnection, int], asyncio.Task
         ] = {}
@@ -59,6 +74,11 @@
                 )
             case messages.PullResults():
                 connection.send(self.results.answer(frame))
+            case messages.PullFigures() if self.figures is not None:
+                connection.send(self.figures.answer(frame))
+            case messages.Suspects():
+                self.quarantine.on_told(frame.data)
+                connection.send(messages.Results(frame.stream, b""))
             case _:
                 self.on_garbage(f"unexpected frame {type(frame).__name__}")
 
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -25,6 +25,7 @@
 MOVING_TICK_S = 0.02
 """Time between looks while a shard is being released."""
 SILENCE_LIMIT_MS = 2 * protocol.ANNOUNCE_EVERY_MS
+SPREAD_TIMEOUT_S = 0.2
 DEFAULTS = records.ServiceSettings()
 
 
@@ -43,6 +44,10 @@
     def is_moving(self) -> bool:
         """Whether a shard is being released."""
 
+    @abc.abstractmethod
+    def on_grant_answered(self) -> None:
+        """The target has answered a grant."""
+
     @abc.abstractmethod
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """The target has surely ended; returns records of what it ran."""
@@ -155,7 +160,7 @@
         if self._ending is None and await self._refuses_connections():
             self.on_ended("its port refuses connections")
         if self._ending is not None:
-            await asyncio.wait([self._ending], timeout=end_prober.TIMEOUT_S)
+            await asyncio.wait([self._ending], timeout=SPREAD_TIMEOUT_S)
 
     def on_ended(self, reason: str) -> None:
         """Takes in that the target has surely ended."""
@@ -244,6 +249,7 @@
             self.on_ended("another incarnation answered")
         elif not answer.accepted:
             self.event_log.write("grant_refused")
+        self.shards.on_grant_answered()
 
     async def _on_no_answer(self, error: targets_base.TargetError) -> None:
         self.grants.on_no_answer()
@@ -272,3 +278,6 @@
         self._probed_ms = now_ms
         if await self._refuses_connections():
             self.on_ended("its port refuses connections")
+
+
+SPREAD_TIMEOUT_S = 0.2
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -232,6 +232,17 @@
     assert holder.allows(3, 8, clock.now_ms())
 
 
+def test_a_late_grant_undoes_no_later_one():
+    holder = grants.GrantHolder("t1")
+    late = standins.grant("t1", {3: 7})
+    holder.accept(standins.grant("t1", {3: 7, 4: 1}))
+    assert holder.refusal(late, clock.now_ms())
+    of_former_node = standins.grant("t1", {3: 7})
+    of_former_node.node = 0
+    assert holder.refusal(of_former_node, clock.now_ms())
+    assert holder.allows(4, 1, clock.now_ms())
+
+
 async def test_reports_lie_and_lag_as_switched():
     async with standins.target(service_time_ms=60_000) as target:
         switches = target_switches.TargetSwitches(
@@ -281,3 +292,18 @@
         await asyncio.sleep(0.05)
         assert clock.now_ms() - began_ms >= 100
         assert (await target.client.run(standins.work())).status == 200
+
+
+async def test_as_much_runs_on_fresh_connections_as_the_target_has_slots():
+    """Non-idempotent work always runs on those."""
+    async with standins.target(service_time_ms=1_000) as target:
+        runs = [
+            asyncio.create_task(target.client.run(standins.work(f"r{n}"), True))
+            for n in range(20)
+        ]
+        most = 0
+        while not runs[0].done():
+            most = max(most, (await target.client.load()).running)
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*runs)
+    assert most == 20
