--- a/bench/failover.py
+++ b/bench/failover.py
@@ -2,7 +2,8 @@
 
 python -m bench.failover [--json] [--runs=20] [--hosts=6] [--seed=1]
   [--kinds=target,daemon,leader,host,leader_and_host]
-  [--outage_s=60] [--revisions=20]
+  [--outage_s=60] [--outage_mode=hang|refuse] [--revisions=20]
+  [--nochecks_grants]
 
 Each run kills the named processes with SIGKILL at a random moment and asks
 for keys of the lost owners every 20 ms through the nodes that live. The time
@@ -38,6 +39,15 @@
 OUTAGE_S = flags.DEFINE_integer(
     "outage_s", 60, "length of the store's outages; 0 for none"
 )
+OUTAGE_MODE = flags.DEFINE_enum_class(
+    "outage_mode",
+    platform_switches.Outage.HANG,
+    platform_switches.Outage,
+    "whether the store refuses calls in an outage or leaves them hanging",
+)
+CHECKS_GRANTS = flags.DEFINE_bool(
+    "checks_grants", True, "whether the targets check grants"
+)
 REVISIONS = flags.DEFINE_integer(
     "revisions", 20, "revisions whose spread is timed; 0 for none"
 )
@@ -218,9 +228,7 @@
     trial.prober.interval_s = 0.25
     trial.prober.keys = trial.keys
     await asyncio.sleep(1.0)
-    switches = platform_switches.PlatformSwitches(
-        outage=platform_switches.Outage.HANG
-    )
+    switches = platform_switches.PlatformSwitches(outage=OUTAGE_MODE.value)
     await processes.switch(trial.fleet.platform_address(), switches)
     began_ms = clock.now_ms()
     await asyncio.sleep(OUTAGE_S.value * LOSS_AFTER_SHARE)
@@ -282,6 +290,19 @@
     return None
 
 
+async def time_revisions(trial, chance, report: Report) -> None:
+    """Times the spread of revisions."""
+    if not REVISIONS.value:
+        return
+    await trial.wait_until_settled()
+    times = []
+    for number in range(REVISIONS.value):
+        times.append(await revision_ms(trial, number))
+        await asyncio.sleep(chance.random())
+    report.revision_p50_ms = statistics.median(times)
+    report.revision_worst_ms = max(times)
+
+
 async def run() -> Report:
     """Measures everything that the flags ask for."""
     chance = random.Random(SEED.value)
@@ -291,18 +312,11 @@
         load_before=os.getloadavg()[0],
         load_after=0.0,
     )
-    async with trial_lib.running(HOSTS.value) as trial:
+    async with trial_lib.running(HOSTS.value, CHECKS_GRANTS.value) as trial:
         for kind in KINDS_FLAG.value:
             report.kills.append(await kill_times(trial, kind, chance))
             print(report.kills[-1], file=sys.stderr, flush=True)
-        if REVISIONS.value:
-            await trial.wait_until_settled()
-            times = []
-            for number in range(REVISIONS.value):
-                times.append(await revision_ms(trial, number))
-                await asyncio.sleep(chance.random())
-            report.revision_p50_ms = statistics.median(times)
-            report.revision_worst_ms = max(times)
+        await time_revisions(trial, chance, report)
         if OUTAGE_S.value:
             for loss in ("none", "host"):
                 report.outages.append(await outage(trial, loss, chance))
