Hold requests for a shard while it moves instead of sending them away

Cause: a request refused in the middle of a move was tried again after 50 ms and more, and one that came before the next owner's target had its grant was refused by the target. Ruled out: shorter pauses at the entry, which cost requests and still miss.

--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -13,6 +13,7 @@
 from auburnrock.shells import clock
 from auburnrock.shells import executor
 from auburnrock.shells import lease_task
+from auburnrock.shells import move_wait
 from auburnrock.shells import store_sync
 from auburnrock.shells import target_slots
 from auburnrock.shells import target_task
@@ -56,6 +57,7 @@
       assigner: writes assignment pages when it is this node's turn.
       releases: what this node may admit, and what it gives away; set by
         `set_work_count`.
+      moves: lets requests wait for a move; set with `releases`.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         )
         self.releases: release.Releases | None = None
         self._is_advancing = False
+        self.moves: move_wait.MoveWait | None = None
 
     def set_work_count(self, work: release.WorkCount) -> None:
         """Completes the wiring with what counts the work under way."""
@@ -89,6 +92,9 @@
             self.chooser,
             work,
         )
+        self.moves = move_wait.MoveWait(
+            self.releases, self.target_task.grants, self.sync.view.pages
+        )
 
     def on_replica_changed(self, changed: list[str]) -> None:
         """Takes in changed records."""
@@ -108,6 +114,19 @@
         self._run(self.assigner.tick(now_ms))
         self._run(self.releases.tick(now_ms))
 
+    async def admit_after_move(
+        self, service: str, shard: int, deadline_ms: int
+    ) -> int | errors.Failure:
+        """The epoch to run at, or why not; see executor.Admission."""
+        epoch = self.admit(service, shard)
+        if epoch is _REFUSALS[release.Admission.MOVING]:
+            await self.moves.until_moved(service, shard, deadline_ms)
+            epoch = self.admit(service, shard)
+        if not isinstance(epoch, errors.Failure) and shard >= 0:
+            await self.moves.until_granted(service, shard, deadline_ms)
+            epoch = self.admit(service, shard)
+        return epoch
+
     def on_idle(self, service: str, shard: int) -> None:
         """Goes on at once with a release that waited for work to end."""
         if shard in self.releases.releases.get(service, ()):
@@ -117,12 +136,16 @@
         """Goes on at once with the releases that waited for the target."""
         if any(self.releases.releases.values()):
             self._advance_soon()
+        self.moves.on_step()
 
     def on_store_result(self, result: actions.StoreResult) -> None:
         """Takes the result of a call to the store."""
         now_ms = clock.now_ms()
         self._run(self.assigner.on_store_result(result, now_ms))
         self._run(self.releases.on_store_result(result, now_ms))
+        if any(self.releases.releases.values()):
+            # Another shard of the page may wait, or this one after a conflict.
+            self._advance_soon()
 
     def admit(self, service: str, shard: int) -> int | errors.Failure:
         """The epoch to run at, or why not; see executor.Admission."""
@@ -165,6 +188,7 @@
     def _advance(self) -> None:
         self._is_advancing = False
         self._run(self.releases.tick(clock.now_ms()))
+        self.moves.on_step()
         # A grant without the shard lets the target confirm its release.
         self.target_task.wake()
 
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -36,6 +36,12 @@
     def admit(self, service: str, shard: int) -> int | errors.Failure:
         """The epoch to run at, 0 for a service not divided by key."""
 
+    @abc.abstractmethod
+    async def admit_after_move(
+        self, service: str, shard: int, deadline_ms: int
+    ) -> int | errors.Failure:
+        """As `admit`, once a move of the shard has gone on."""
+
     @abc.abstractmethod
     def target(self) -> targets_base.Target | None:
         """The target beside this node; None while there is none."""
@@ -141,9 +147,13 @@
         self, request: messages.Request
     ) -> messages.Response | messages.Refusal:
         """Runs one request, or refuses it with the true reason."""
-        epoch = self.admission.admit(request.service, request.shard)
+        began_ms = clock.now_ms()
+        epoch = await self.admission.admit_after_move(
+            request.service, request.shard, request.deadline_ms
+        )
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
+        request.deadline_ms -= clock.now_ms() - began_ms
         if request.shard >= 0:
             place = pages_lib.ServiceShard(request.service, request.shard)
             self.meter.arrived(place, request.key, clock.now_ms())
--- /dev/null
+++ b/tests/cover/test_move_wait.py
@@ -0,0 +1,94 @@
+"""Requests that meet a move wait for it instead of being sent away."""
+
+import asyncio
+import types
+
+from auburnrock.engine import actions
+from auburnrock.engine import grants as grants_lib
+from auburnrock.engine import record_writer
+from auburnrock.engine import timing
+from auburnrock.engine import view as view_lib
+from auburnrock.shells import move_wait
+from auburnrock.targets import base as targets_base
+from tests.common import assignment
+
+OWN = 7
+LONG_MS = 60_000
+
+
+def make_wait(releases):
+    view = view_lib.View(assignment.replica_lib.Replica())
+    view.apply_value(
+        assignment.platform_base.Value(
+            assignment.records.page_key(assignment.SERVICE, 0),
+            assignment.records.encode_page(assignment.page([OWN, OWN])),
+            1,
+        )
+    )
+    grants = grants_lib.Grants(OWN, timing.Timing())
+    grants.on_announced(
+        targets_base.Announcement(
+            service=assignment.SERVICE,
+            address="127.0.0.1:1",
+            incarnation="target",
+            clock_ms=0,
+            checks_grants=True,
+        ),
+        0,
+    )
+    held = types.SimpleNamespace(releases={assignment.SERVICE: releases})
+    return move_wait.MoveWait(held, grants, view.pages)
+
+
+async def test_a_request_is_held_until_the_shard_is_not_moving():
+    releases = {0: "moving"}
+    wait = make_wait(releases)
+    await wait.until_moved(assignment.SERVICE, 1, LONG_MS)
+    held = asyncio.create_task(wait.until_moved(assignment.SERVICE, 0, LONG_MS))
+    wait.on_step()
+    await asyncio.sleep(0)
+    assert not held.done()
+    releases.clear()
+    wait.on_step()
+    await held
+
+
+async def test_a_request_waits_for_the_targets_grant_of_its_shard():
+    wait = make_wait({})
+    held = asyncio.create_task(
+        wait.until_granted(assignment.SERVICE, 1, LONG_MS)
+    )
+    await asyncio.sleep(0)
+    assert not held.done()
+    wait.grants.next([targets_base.GrantedShard(shard=1, epoch=1)], 900, 1)
+    wait.grants.on_answer(
+        targets_base.GrantAnswer(
+            accepted=True, incarnation="target", clock_ms=2, running={}
+        ),
+        2,
+    )
+    wait.on_step()
+    await held
+
+
+async def test_a_request_is_not_held_past_its_deadline():
+    wait = make_wait({0: "moving"})
+    await wait.until_moved(assignment.SERVICE, 0, 1)
+    await wait.until_granted(assignment.SERVICE, 0, 1)
+
+
+def test_who_loses_to_other_writers_a_few_times_writes_again_at_once():
+    writer = record_writer.RecordWriter("part", OWN)
+    for _ in range(record_writer.FREE_CONFLICTS):
+        swap = writer.swap("pages/a/00000", b"", 1)
+        result = actions.StoreResult(
+            swap.token, actions.StoreOutcome.CONFLICT, None
+        )
+        writer.on_result(result, 100)
+        assert writer.may_write("pages/a/00000", 100)
+    swap = writer.swap("pages/a/00000", b"", 1)
+    writer.on_result(
+        actions.StoreResult(swap.token, actions.StoreOutcome.CONFLICT, None),
+        100,
+    )
+    assert not writer.may_write("pages/a/00000", 100)
