Move the watermark with an own write that is the next revision

Cause: after each hand-over the former owner read the store before it could tell the next owner. Ruled out: telling without a watermark: a hint says how far the replica is. Change: a value of the very next revision moves the watermark, as the store counts every write by one. Conclusion: only writes that race still cost a read.

--- a/src/auburnrock/engine/replica.py
+++ b/src/auburnrock/engine/replica.py
@@ -55,9 +55,12 @@
     def apply_value(self, value: platform_base.Value) -> list[str]:
         """Applies one value seen, as after an own write.
 
-        The watermark stays, since changes of other keys may lie between.
+        The watermark moves only to the very next revision, since changes of
+        other keys may lie between.
         """
-        return self._apply(self.revision, [value])
+        is_next = value.revision == self.revision + 1
+        revision = value.revision if is_next else self.revision
+        return self._apply(revision, [value])
 
     def apply_delta(self, delta: messages.Delta) -> list[str]:
         """Applies a peer's delta; returns the changed keys.
