--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -49,6 +49,7 @@
       sync: owner of the replica.
       runner: carries out actions.
       event_log: where events go.
+      port: UDP port to listen on; the record may advertise another.
       listeners: are told the time after each tick.
       totals: is given the load totals received; set when the node is wired.
       member: the engine's part; None before the replica is complete.
@@ -61,6 +62,7 @@
         sync: store_sync.StoreSync,
         runner: action_runner.ActionRunner,
         event_log: logs.EventLog,
+        port: int,
     ):
         super().__init__()
         self.record = record
@@ -68,6 +70,7 @@
         self.sync = sync
         self.runner = runner
         self.event_log = event_log
+        self.port = port
         self.listeners: list[TickListener] = []
         self.totals: TotalsListener | None = None
         self.member: member.Member | None = None
@@ -86,13 +89,19 @@
             self,
             self.runner.traffic,
             self.record.address,
-            self.record.peer_port,
+            self.port,
         )
         self.start_event.set()
         while True:
             self._tick()
             await asyncio.sleep(TICK_S)
 
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes the socket and drops the calls under way."""
+        if self.runner.socket is not None:
+            self.runner.socket.close()
+        self.runner.close()
+
     def live(self) -> bool:
         """Whether this node's lease is valid at this moment."""
         return self.member is not None and self.member.holder.live(
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -1,5 +1,6 @@
 """Wires the tasks of one node together."""
 
+import asyncio
 import secrets
 
 import aiomisc
@@ -28,7 +29,7 @@
 from auburnrock.targets import base as targets_base
 
 RANDOM_BITS = 20
-UPKEEP_INTERVAL_MS = 1_000
+UPKEEP_INTERVAL_MS = 200
 
 
 def new_incarnation() -> int:
@@ -88,6 +89,10 @@
         """The shards to grant now."""
         return self.assignment.releases.grantable()
 
+    def is_moving(self) -> bool:
+        """Whether a shard is being released."""
+        return any(self.assignment.releases.releases.values())
+
     def on_grant_answered(self) -> None:
         """Goes on with releases."""
         self.assignment.on_grant_answered()
@@ -109,13 +114,14 @@
         self.next_ms = 0
 
     def on_tick(self, now_ms: int) -> None:
-        """Writes open quarantine records; each second forgets old state."""
-        self.node.quarantine.tick(now_ms)
-        self.node.executor.results.expire(clock.wall_ms())
-        self.node.results.tick(now_ms)
+        """Writes open quarantine records and forgets old state."""
+        self.node.note_end()
         if now_ms < self.next_ms:
             return
         self.next_ms = now_ms + UPKEEP_INTERVAL_MS
+        self.node.quarantine.tick(now_ms)
+        self.node.executor.results.expire(clock.wall_ms())
+        self.node.results.tick(now_ms)
         self.node.entry_router.forget_ended()
 
 
@@ -126,6 +132,8 @@
       settings: its settings.
       event_log: its log and time line.
       incarnation: number of this start.
+      ended: set once other nodes have ended this incarnation, as after a
+        long freeze; the process goes on with a new one.
       sync: owns the replica.
       lease: holds the lease.
       target: knows the target beside it.
@@ -146,6 +154,7 @@
         self.platform = platform
         self.event_log = event_log
         self.incarnation = new_incarnation()
+        self.ended = asyncio.Event()
         self.peers = frames.PeerConnections(_NoRequests(event_log))
         self.sync = store_sync.StoreSync(
             platform, self.peers, self.incarnation, event_log
@@ -154,7 +163,12 @@
             platform, self.sync, event_log, self.incarnation
         )
         self.lease = lease_task.LeaseTask(
-            self._record(), timing, self.sync, self.runner, event_log
+            self._record(),
+            timing,
+            self.sync,
+            self.runner,
+            event_log,
+            settings.peer_port,
         )
         self.target = target_task.TargetTask(self.lease, timing, event_log)
         self.assignment = assignment_task.AssignmentTask(
@@ -240,6 +254,15 @@
             self.target,
         ]
 
+    def note_end(self) -> None:
+        """Notes when this incarnation was ended by other nodes."""
+        member = self.lease.member
+        if member is None or self.ended.is_set():
+            return
+        if member.holder.ended and not member.holder.leaving:
+            self.event_log.write("incarnation_ended")
+            self.ended.set()
+
     def begin_drain(self) -> None:
         """Begins to give away all that this node owns."""
         if self.lease.member is not None:
@@ -254,7 +277,7 @@
             region=settings.region,
             zone=settings.zone,
             address=settings.address,
-            peer_port=settings.peer_port,
+            peer_port=settings.advertised_peer_port or settings.peer_port,
             http_port=settings.http_port,
             control_port=settings.control_port,
         )
