Wait for the former owner's results before at-most-once work runs

Cause: ResultsTask.wait_for was never called, so a repeat that came right after a move was answered outcome_unknown though its answer was on the way. Ruled out: adopting earlier; the owner hands its results over after it let go. Figures: the test fails without the change and passes with it. Conclusion: a repeat after a planned move gets the first run's answer.

--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -153,6 +153,11 @@
         )
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
+        if not request.idempotent and self.results_source is not None:
+            await self.results_source.wait_for(request.service, request.shard)
+            epoch = self.admission.admit(request.service, request.shard)
+            if isinstance(epoch, errors.Failure):
+                return self.refuse(request, epoch)
         request.deadline_ms -= clock.now_ms() - began_ms
         if request.shard >= 0:
             place = pages_lib.ServiceShard(request.service, request.shard)
--- a/tests/cover/test_move_wait.py
+++ b/tests/cover/test_move_wait.py
@@ -1,14 +1,24 @@
 """Requests that meet a move wait for it instead of being sent away."""
 
 import asyncio
+import io
 import types
 
+import uuid_utils
+
+from auburnrock import messages
 from auburnrock.engine import actions
 from auburnrock.engine import grants as grants_lib
+from auburnrock.engine import idempotency
+from auburnrock.engine import quarantine
 from auburnrock.engine import record_writer
 from auburnrock.engine import timing
 from auburnrock.engine import view as view_lib
+from auburnrock.shells import clock
+from auburnrock.shells import executor
+from auburnrock.shells import logs
 from auburnrock.shells import move_wait
+from auburnrock.shells import target_slots
 from auburnrock.targets import base as targets_base
 from tests.common import assignment
 
@@ -92,3 +102,73 @@
         100,
     )
     assert not writer.may_write("pages/a/00000", 100)
+
+
+class Admission(executor.Admission):
+    """Owns shard 0 at epoch 2 and has no target."""
+
+    def admit(self, service, shard):
+        return 2
+
+    async def admit_after_move(self, service, shard, deadline_ms):
+        return 2
+
+    def target(self):
+        return None
+
+    def slots(self):
+        return target_slots.TargetSlots(1, 1)
+
+    def watermark(self):
+        return 0
+
+    def on_idle(self, service, shard):
+        return None
+
+
+class LateResults(executor.ResultsSource):
+    """Brings what the former owner kept, after a while."""
+
+    def __init__(self, window, kept):
+        self.window = window
+        self.kept = kept
+
+    async def wait_for(self, service, shard):
+        await asyncio.sleep(0)
+        self.window.own(service, shard, 2, 0)
+        assert self.window.adopt(self.kept)
+
+
+async def test_a_repeat_at_the_next_owner_waits_for_the_kept_answer():
+    """Without the wait it was told that the outcome is unknown."""
+    name = str(uuid_utils.uuid7())
+    request = messages.Request(
+        stream=1,
+        request_id="r",
+        service=assignment.SERVICE,
+        method="POST",
+        path="/",
+        headers=[],
+        body=b"",
+        key="k",
+        shard=0,
+        deadline_ms=1_000,
+        idempotent=False,
+        idempotency_key=name,
+        caller="",
+    )
+    former = idempotency.ResultWindow()
+    former.own(assignment.SERVICE, 0, 1, 0)
+    work = idempotency.WorkName(assignment.SERVICE, "k", "", name)
+    mark = quarantine.fingerprint(assignment.SERVICE, "POST", "/", "k", b"")
+    former.begin(clock.wall_ms(), 0, work, mark, True)
+    answer = messages.Response(1, "first", 200, [], b"done", 6, 1)
+    former.done(0, work, answer)
+    event_log = logs.event_log("test", io.StringIO())
+    owner = executor.Executor(Admission(), None, OWN, event_log, 500)
+    owner.results_source = LateResults(
+        owner.results, former.export(assignment.SERVICE, 0)
+    )
+    repeated = await owner.execute(request)
+    assert isinstance(repeated, messages.Response), repeated
+    assert repeated.body == b"done"
