Repeat done work after moves in bench moves

Cause: the bench did not show whether results are carried along. Ruled out: counting executions alone, which a refusal passes too. Change: every 16th request, all at most once, is repeated 0.8 s later.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -52,6 +52,8 @@
 SHARDS = 16
 LOAD_PATH = "/work"
 ONCE_PATH = "/once"
+REPEATED = 16
+REPEAT_AFTER_S = 0.8
 SETTLE_S = 2.0
 ATTEMPTS = 4
 
@@ -72,6 +74,7 @@
       requests: requests that were made.
       failed: requests without a good answer, by kind.
       retried: tries that the caller had to repeat, by kind.
+      repeats: what repeats of done at-most-once work got, 0.8 s later.
       doubled: idempotency keys that ran more than once.
       p50_ms, p99_ms, worst_ms: unavailable time of a moved key.
       gap_ms: usual gap between two answers, median over the keys.
@@ -81,6 +84,7 @@
     requests: int
     failed: dict[str, int]
     retried: dict[str, int]
+    repeats: dict[str, int]
     doubled: int
     p50_ms: float
     p99_ms: float
@@ -97,6 +101,7 @@
       requests: requests made.
       retried: kinds of the failures after which it tried again.
       failed: kinds of the failures that stayed.
+      repeats: answers to repeats of at-most-once work that was done.
     """
 
     def __init__(self, key: str, address: str, session: aiohttp.ClientSession):
@@ -107,6 +112,7 @@
         self.requests = 0
         self.retried: collections.Counter = collections.Counter()
         self.failed: collections.Counter = collections.Counter()
+        self.repeats: collections.Counter = collections.Counter()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Sends requests until told to stop; one that is late delays none."""
@@ -132,15 +138,30 @@
             async with self.session.request(
                 method, self.url + path, headers=headers
             ) as response:
-                await response.read()
+                body = await response.read()
                 if response.status == 200:
                     self._note(response)
-                    return
+                    break
                 kind = response.headers.get(wire.ERROR, str(response.status))
                 self.retried[kind] += 1
                 retry_ms = int(response.headers.get(wire.RETRY_AFTER_MS, 100))
             await asyncio.sleep(retry_ms / 1_000)
-        self.failed[kind] += 1
+        else:
+            self.failed[kind] += 1
+            return
+        if once and number % REPEATED == 0:
+            await self._repeat(headers, body)
+
+    async def _repeat(self, headers: dict[str, str], first: bytes) -> None:
+        """Asks again for work that is done, perhaps at the next owner."""
+        await asyncio.sleep(REPEAT_AFTER_S)
+        headers[wire.FIRST_TRY] = "no"
+        async with self.session.post(
+            self.url + ONCE_PATH, headers=headers
+        ) as response:
+            same = await response.read() == first
+            kind = response.headers.get(wire.ERROR, "another answer")
+        self.repeats["same answer" if same else kind] += 1
 
     def _note(self, response: aiohttp.ClientResponse) -> None:
         self.answers.append(
@@ -277,14 +298,17 @@
     )
     failed: collections.Counter = collections.Counter()
     retried: collections.Counter = collections.Counter()
+    repeats: collections.Counter = collections.Counter()
     for caller in callers:
         failed.update(caller.failed)
         retried.update(caller.retried)
+        repeats.update(caller.repeats)
     return Report(
         moves=len(times_ms),
         requests=sum(caller.requests for caller in callers),
         failed=dict(failed),
         retried=dict(retried),
+        repeats=dict(repeats),
         doubled=0,
         p50_ms=round(_percentile(times_ms, 0.5), 1),
         p99_ms=round(_percentile(times_ms, 0.99), 1),
