--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -125,16 +125,16 @@
             self.target_task.wake()
 
     async def admit_after_move(
-        self, service: str, shard: int, deadline_ms: int
+        self, service: str, shard: int, key: str, deadline_ms: int
     ) -> int | errors.Failure:
         """The epoch to run at, or why not; see executor.Admission."""
-        epoch = self.admit(service, shard)
+        epoch = self.admit(service, shard, key)
         if epoch is _REFUSALS[release.Admission.MOVING]:
             await self.moves.until_moved(service, shard, deadline_ms)
-            epoch = self.admit(service, shard)
+            epoch = self.admit(service, shard, key)
         if not isinstance(epoch, errors.Failure) and shard >= 0:
             await self.moves.until_granted(service, shard, deadline_ms)
-            epoch = self.admit(service, shard)
+            epoch = self.admit(service, shard, key)
         return epoch
 
     def on_idle(self, service: str, shard: int) -> None:
@@ -157,11 +157,13 @@
             # Another shard of the page may wait, or this one after a conflict.
             self._advance_soon()
 
-    def admit(self, service: str, shard: int) -> int | errors.Failure:
+    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, or why not; see executor.Admission."""
         if shard < 0:
             return self._admit_any(service)
-        admission = self.releases.admission(service, shard, self.lease.live())
+        admission = self.releases.admission(
+            service, shard, self.lease.live(), key
+        )
         if admission is not release.Admission.SERVE:
             return _REFUSALS[admission]
         return self.sync.view.pages.owner(service, shard).epoch
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -22,6 +22,7 @@
 from auburnrock.shells import logs
 from auburnrock.shells import router
 from auburnrock.shells import target_slots
+from auburnrock.shells import wire
 from auburnrock.targets import base as targets_base
 
 _SHED_KINDS = frozenset(
@@ -33,12 +34,12 @@
     """Says whether this node may run work on a shard now."""
 
     @abc.abstractmethod
-    def admit(self, service: str, shard: int) -> int | errors.Failure:
+    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, 0 for a service not divided by key."""
 
     @abc.abstractmethod
     async def admit_after_move(
-        self, service: str, shard: int, deadline_ms: int
+        self, service: str, shard: int, key: str, deadline_ms: int
     ) -> int | errors.Failure:
         """As `admit`, once a move of the shard has gone on."""
 
@@ -149,15 +150,15 @@
         """Runs one request, or refuses it with the true reason."""
         began_ms = clock.now_ms()
         epoch = await self.admission.admit_after_move(
-            request.service, request.shard, request.deadline_ms
+            request.service,
+            request.shard,
+            _owned_by(request),
+            request.deadline_ms,
         )
+        if isinstance(epoch, int) and not request.idempotent:
+            epoch = await self._admit_with_results(request)
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
-        if not request.idempotent and self.results_source is not None:
-            await self.results_source.wait_for(request.service, request.shard)
-            epoch = self.admission.admit(request.service, request.shard)
-            if isinstance(epoch, errors.Failure):
-                return self.refuse(request, epoch)
         request.deadline_ms -= clock.now_ms() - began_ms
         if request.shard >= 0:
             place = pages_lib.ServiceShard(request.service, request.shard)
@@ -166,6 +167,19 @@
             return await self._run_with_place(request)
         return await self._run_at_most_once(request, epoch)
 
+    async def _admit_with_results(
+        self, request: messages.Request
+    ) -> int | errors.Failure:
+        """Admits at-most-once work when what ran before is known."""
+        if self.results_source is not None:
+            await self.results_source.wait_for(request.service, request.shard)
+        return self._admit(request)
+
+    def _admit(self, request: messages.Request) -> int | errors.Failure:
+        return self.admission.admit(
+            request.service, request.shard, _owned_by(request)
+        )
+
     def refuse(
         self, request: messages.Request, failure: errors.Failure
     ) -> messages.Refusal:
@@ -331,7 +345,7 @@
         self, request: messages.Request, running: Running, is_second: bool
     ) -> Sent:
         """Sends to the target; the ownership is checked just before."""
-        epoch = self.admission.admit(request.service, request.shard)
+        epoch = self._admit(request)
         if isinstance(epoch, errors.Failure):
             return self._not_sent(request, epoch)
         target = self.admission.target()
@@ -373,7 +387,7 @@
             stream=request.stream,
             request_id=request.request_id,
             status=answer.status,
-            headers=answer.headers,
+            headers=_without_own(answer.headers),
             body=answer.body,
             owner=self.incarnation,
             epoch=epoch,
@@ -412,6 +426,18 @@
         return
 
 
+def _without_own(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Leaves out the headers that each answer is given anew.
+
+    A kept answer is given to repeats, whose request ids differ.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.lower().startswith(wire.OWN_HEADER_PREFIX)
+    ]
+
+
 def _outcome(error: targets_base.TargetError) -> concurrency_limit.Outcome:
     if isinstance(error, targets_base.LostError):
         if error.silent:
@@ -422,6 +448,11 @@
     return concurrency_limit.Outcome.ABANDONED
 
 
+def _owned_by(request: messages.Request) -> str:
+    """What the request's shard was worked out from; see keys.routing_key."""
+    return request.key or request.idempotency_key
+
+
 def _mark(request: messages.Request) -> str:
     return quarantine_lib.fingerprint(
         request.service,
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -187,6 +187,7 @@
             self.incarnation,
             self.sync,
             self.runner,
+            self.peers,
             event_log,
         )
         self.results = results_task.ResultsTask(
@@ -226,7 +227,11 @@
             settings.largest_body_bytes,
         )
         handler = peer_server.PeerHandler(
-            self.executor, self.sync, self.results, event_log
+            self.executor,
+            self.sync,
+            self.results,
+            self.quarantine,
+            event_log,
         )
         handler.figures = self.rebalance
         handler.traffic = self.runner.traffic
--- a/tests/cover/test_move_wait.py
+++ b/tests/cover/test_move_wait.py
@@ -107,10 +107,10 @@
 class Admission(executor.Admission):
     """Owns shard 0 at epoch 2 and has no target."""
 
-    def admit(self, service, shard):
+    def admit(self, service, shard, key):
         return 2
 
-    async def admit_after_move(self, service, shard, deadline_ms):
+    async def admit_after_move(self, service, shard, key, deadline_ms):
         return 2
 
     def target(self):
