Let at most two owners of a page release shards at a time

Ruled out: one owner at a time, whose long work would hold up all others. Change: the assigner adds moves of a third owner when one is done.

--- a/src/auburnrock/engine/assigner.py
+++ b/src/auburnrock/engine/assigner.py
@@ -25,6 +25,9 @@
 REMOVE_ENDED_AFTER_MS = 60_000
 PLANNED_MOVE_LIFE_MS = 10_000
 SPREAD_COUNT = 3
+OWNERS_AT_ONCE = 2
+"""Owners that release shards of one page for planned moves at a time. Each
+writes the page when it is done, and waits while another does."""
 
 
 class _Plan(msgspec.Struct):
@@ -234,11 +237,17 @@
             page_change.extend(change, size)
         log: list[actions.Action] = []
         plans = self._plans.get(page.key, {})
+        releasing = {page.entry(shard).owner for shard in page.moving()}
         for shard, plan in sorted(plans.items()):
+            owner = page.owner_of(shard)
+            if owner not in releasing and len(releasing) >= OWNERS_AT_ONCE:
+                continue
             problem = page_change.add_move(change, page, plan.move, members)
             if problem:
                 del plans[shard]
                 log.append(_move_dropped(plan.move, problem))
+            else:
+                releasing.add(owner)
         if not plans:
             self._plans.pop(page.key, None)
         return log
--- a/src/auburnrock/engine/pages.py
+++ b/src/auburnrock/engine/pages.py
@@ -44,6 +44,13 @@
         """The entry of a shard that the page holds."""
         return self.record.entries[shard - self.first_shard]
 
+    def owner_of(self, shard: int) -> int:
+        """Owner of a shard; NO_OWNER for one that the page does not hold."""
+        index = shard - self.first_shard
+        if not 0 <= index < len(self.record.entries):
+            return records.NO_OWNER
+        return self.record.entries[index].owner
+
     def moving(self) -> dict[int, int]:
         """The next owner of each moving shard that the page holds."""
         last = self.first_shard + len(self.record.entries)
--- a/tests/cover/test_assignment.py
+++ b/tests/cover/test_assignment.py
@@ -248,3 +248,23 @@
     assert pages.owner(SERVICE, 4) is None
     assert pages.owner("other", 0) is None
     assert pages.owned[SERVICE] == {1: 2, 2: 2}
+
+
+def test_few_owners_of_one_page_release_at_a_time():
+    """Each writes the page when it is done; four at once cost 40 ms more."""
+    fleet = Fleet(*[common.node(n) for n in (1, 2, 3)])
+    fleet.store.put_page(common.page([1, 1, 2, 3]))
+    part = fleet.assigner(1)
+    moves = [(0, 2), (1, 3), (2, 3), (3, 1)]
+    [call] = common.swaps(
+        part.plan([page_change.PlannedMove(SERVICE, *m) for m in moves], 0)
+    )
+    part.on_store_result(fleet.store.swap(call), 1)
+    fleet.refresh(part, 1)
+    assert fleet.store.page().moving == {0: 2, 1: 3, 2: 3}
+    assert not common.swaps(part.tick(2))
+    fleet.store.put_page(common.page([2, 3, 2, 3], epoch=2, moving={2: 3}))
+    fleet.refresh(part, 3)
+    [call] = common.swaps(part.tick(3))
+    fleet.store.swap(call)
+    assert fleet.store.page().moving == {2: 3, 3: 1}
