--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -37,6 +37,12 @@
     def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
         """The epoch to run at, 0 for a service not divided by key."""
 
+    @abc.abstractmethod
+    async def admit_after_move(
+        self, service: str, shard: int, key: str, deadline_ms: int
+    ) -> int | errors.Failure:
+        """As `admit`, once a move of the shard has gone on."""
+
     @abc.abstractmethod
     def target(self) -> targets_base.Target | None:
         """The target beside this node; None while there is none."""
@@ -142,11 +148,18 @@
         self, request: messages.Request
     ) -> messages.Response | messages.Refusal:
         """Runs one request, or refuses it with the true reason."""
-        epoch = self.admission.admit(
-            request.service, request.shard, _owned_by(request)
+        began_ms = clock.now_ms()
+        epoch = await self.admission.admit_after_move(
+            request.service,
+            request.shard,
+            _owned_by(request),
+            request.deadline_ms,
         )
+        if isinstance(epoch, int) and not request.idempotent:
+            epoch = await self._admit_with_results(request)
         if isinstance(epoch, errors.Failure):
             return self.refuse(request, epoch)
+        request.deadline_ms -= clock.now_ms() - began_ms
         if request.shard >= 0:
             place = pages_lib.ServiceShard(request.service, request.shard)
             self.meter.arrived(place, request.key, clock.now_ms())
@@ -154,6 +167,19 @@
             return await self._run_with_place(request)
         return await self._run_at_most_once(request, epoch)
 
+    async def _admit_with_results(
+        self, request: messages.Request
+    ) -> int | errors.Failure:
+        """Admits at-most-once work when what ran before is known."""
+        if self.results_source is not None:
+            await self.results_source.wait_for(request.service, request.shard)
+        return self._admit(request)
+
+    def _admit(self, request: messages.Request) -> int | errors.Failure:
+        return self.admission.admit(
+            request.service, request.shard, _owned_by(request)
+        )
+
     def refuse(
         self, request: messages.Request, failure: errors.Failure
     ) -> messages.Refusal:
@@ -319,9 +345,7 @@
         self, request: messages.Request, running: Running, is_second: bool
     ) -> Sent:
         """Sends to the target; the ownership is checked just before."""
-        epoch = self.admission.admit(
-            request.service, request.shard, _owned_by(request)
-        )
+        epoch = self._admit(request)
         if isinstance(epoch, errors.Failure):
             return self._not_sent(request, epoch)
         target = self.admission.target()
