Ask again for a second attempt while a request's connection is silent

Cause: when the target's connections went silent for good, each of the 20 requests on them wanted a second attempt at once, the budget allowed about 10, and the others were never asked about again: they failed at their deadline. Later requests met further silent connections that were idle. Ruled out: a budget of 40 at once (breaks the stated bound of 10, and the tests of it said so: 41 repeats of 19 allowed); repeats at the owner (two layers would retry). Change: a silent request asks again after 50 to 400 ms, within the same budget, which the answers of others refill. When a second attempt arrives, the owner uses none of the target's idle connections again, at most once a second. The failure at a deadline no longer says 'it was not sent' of what was sent. Conclusion: a request costs at most some pauses while others are answered. A lone burst of more than 10 requests with no other traffic still loses those beyond the budget.

--- a/src/auburnrock/engine/request.py
+++ b/src/auburnrock/engine/request.py
@@ -25,6 +25,7 @@
 MAX_WAITING = 1_024
 FIRST_PAUSE_MS = 50
 LONGEST_PAUSE_MS = 400
+UNKNOWN_RETRY_AFTER_MS = 500
 
 MISROUTED_KINDS = frozenset(
     {
@@ -105,8 +106,6 @@
 Event = request_events.Event
 Actions = list[request_events.Action]
 
-UNKNOWN_RETRY_AFTER_MS = 500
-
 _NO_ACTIONS: Actions = []
 
 
@@ -327,14 +326,10 @@
         return [action]
 
     def retry(self, now_ms: int, event: Event) -> Actions:
-        """Sends again at the cost of the retry budget."""
+        """Sends again, or beside a silent attempt, at the budget's cost."""
         self._spend()
         return self.send(now_ms, event)
 
-    def hedge(self, now_ms: int, event: Event) -> Actions:
-        """Sends a second attempt beside the silent one."""
-        return self.retry(now_ms, event)
-
     def wait(self, now_ms: int, event: Event) -> Actions:
         """Waits for news of the table, or for the end of a pause."""
         self.entry.waiting += 1
@@ -342,13 +337,16 @@
 
     def pause_again(self, now_ms: int, event: Event) -> Actions:
         """Goes on waiting, for a longer pause."""
+        self.resume_at_ms = now_ms + self._next_pause_ms()
+        self._set_wake(self.resume_at_ms)
+        return _NO_ACTIONS
+
+    def _next_pause_ms(self) -> int:
         pause_ms = retry.backoff_ms(
             self.pauses, FIRST_PAUSE_MS, LONGEST_PAUSE_MS
         )
         self.pauses += 1
-        self.resume_at_ms = now_ms + pause_ms
-        self._set_wake(self.resume_at_ms)
-        return _NO_ACTIONS
+        return pause_ms
 
     def wait_to_retry(self, now_ms: int, event: Event) -> Actions:
         """Pays for a repeat and waits for a node to send it to."""
@@ -356,9 +354,9 @@
         return self.wait(now_ms, event)
 
     def wait_on(self, now_ms: int, event: Event) -> Actions:
-        """Leaves a silent attempt alone until the deadline."""
-        self.hedge_at_ms = None
-        self._set_wake(None)
+        """Leaves a silent attempt alone, until the budget allows another."""
+        self.hedge_at_ms = now_ms + self._next_pause_ms()
+        self._set_wake(self.hedge_at_ms)
         return _NO_ACTIONS
 
     def reply(self, now_ms: int, event: Event) -> Actions:
@@ -377,6 +375,8 @@
     def refuse_expired(self, now_ms: int, event: Event) -> Actions:
         """Gives up at the deadline."""
         seen = self.failure.message if self.failure else "it was not sent"
+        if self.outstanding:
+            seen = "it was sent and has no answer"
         failure = errors.Failure(
             errors.ErrorKind.DEADLINE_EXCEEDED,
             f"the deadline passed; last seen: {seen}",
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -273,6 +273,9 @@
             "target_connection_silent", request_id=request.request_id
         )
         self.admission.slots().gone_silent(first.ticket)
+        target = self.admission.target()
+        if target is not None:
+            target.retire_idle()
         return True
 
     async def _run(
--- a/src/auburnrock/targets/base.py
+++ b/src/auburnrock/targets/base.py
@@ -147,6 +147,12 @@
 class Target(abc.ABC):
     """Client of one target."""
 
+    def retire_idle(self) -> None:  # noqa: B027
+        """Uses no idle connection again: one of them has gone silent.
+
+        Does nothing by default.
+        """
+
     @abc.abstractmethod
     async def run(
         self, work: Work, fresh_connection: bool = False
--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -14,6 +14,7 @@
 IDLE_LIMIT_S = 3.0
 """Idle connections are not used again after this: they may have gone silent."""
 
+RETIRE_EVERY_S = 1.0
 CONTROL_CONNECTIONS = 2
 FEWEST_CONNECTIONS = 12
 CONTROL_TIMEOUT_MS = 500
@@ -79,12 +80,31 @@
     return kind
 
 
+class Pool:
+    """A session whose connections are used again.
+
+    Attributes:
+      session: the session.
+      in_use: requests that have not ended.
+      since_s: loop time at which it was made.
+    """
+
+    __slots__ = ("in_use", "session", "since_s")
+
+    def __init__(self, connections: int):
+        self.session = http_client.make_session(connections, IDLE_LIMIT_S)
+        self.in_use = 0
+        self.since_s = asyncio.get_running_loop().time()
+
+
 class HttpTarget(base.Target):
     """A target that speaks HTTP.
 
     Attributes:
       address: host:port of the target.
-      pooled: session whose connections are used again.
+      kept: most connections that are used again.
+      pool: makes and keeps those.
+      retired: former pools with requests that have not ended.
       fresh: session that makes a connection for each request.
       control: the same, for orders, so that they wait behind no work.
     """
@@ -92,12 +112,14 @@
     def __init__(
         self,
         address: str,
-        pooled: aiohttp.ClientSession,
+        kept: int,
         fresh: aiohttp.ClientSession,
         control: aiohttp.ClientSession,
     ):
         self.address = address
-        self.pooled = pooled
+        self.kept = kept
+        self.pool = Pool(kept)
+        self.retired: set[Pool] = set()
         self.fresh = fresh
         self.control = control
         self.in_flight: dict[str, asyncio.Timeout] = {}
@@ -106,7 +128,34 @@
         self, work: base.Work, fresh_connection: bool = False
     ) -> base.WorkAnswer:
         """See the base class; `work.deadline_ms` is the timeout."""
-        session = self.fresh if fresh_connection else self.pooled
+        if fresh_connection:
+            return await self._run_on(self.fresh, work)
+        pool = self.pool
+        pool.in_use += 1
+        try:
+            return await self._run_on(pool.session, work)
+        finally:
+            pool.in_use -= 1
+            if pool in self.retired and pool.in_use == 0:
+                self.retired.discard(pool)
+                await pool.session.close()
+
+    def retire_idle(self) -> None:
+        """Uses no idle connection again; see the base class.
+
+        At most once a second: a target that is slow rather than silent must
+        not be given a new connection for each request. The idle connections
+        end by themselves within IDLE_LIMIT_S.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self.pool.since_s + RETIRE_EVERY_S:
+            return
+        self.retired.add(self.pool)
+        self.pool = Pool(self.kept)
+
+    async def _run_on(
+        self, session: aiohttp.ClientSession, work: base.Work
+    ) -> base.WorkAnswer:
         attempt = http_client.Attempt()
         timeout = asyncio.timeout(work.deadline_ms / _MILLISECONDS_PER_SECOND)
         try:
@@ -188,7 +237,8 @@
 
     async def close(self) -> None:
         """See the base class."""
-        for session in (self.pooled, self.fresh, self.control):
+        pools = [pool.session for pool in (self.pool, *self.retired)]
+        for session in (*pools, self.fresh, self.control):
             await session.close()
 
     async def _order(self, method: str, path: str, body: bytes) -> bytes:
@@ -279,7 +329,7 @@
     kept = connections - CONTROL_CONNECTIONS - fresh
     return HttpTarget(
         address,
-        pooled=http_client.make_session(kept, IDLE_LIMIT_S),
+        kept=kept,
         fresh=http_client.make_session(fresh, None),
         control=http_client.make_session(CONTROL_CONNECTIONS, None),
     )
--- a/tests/cover/test_requests_processes.py
+++ b/tests/cover/test_requests_processes.py
@@ -60,6 +60,23 @@
     assert (await callers.call(owner, key="a")).status == 200
 
 
+async def test_connections_silent_for_good_cost_no_idempotent_request(
+    fleet, callers
+):
+    owner = await fleet.owner_of(callers, "a")
+    entry = fleet.other_than(owner)
+
+    async def caller():
+        for _ in range(30):
+            seen = await callers.call(entry, key="a", deadline_ms=10_000)
+            assert seen.status == 200, seen
+
+    running = [asyncio.create_task(caller()) for _ in range(20)]
+    await asyncio.sleep(0.3)
+    await fleet.switch(owner, silence_connections=True)
+    await asyncio.gather(*running)
+
+
 async def test_silent_connections_cost_no_non_idempotent_request(
     fleet, callers
 ):
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -296,3 +296,19 @@
             await asyncio.sleep(0.02)
         await asyncio.gather(*runs)
     assert most == 20
+
+
+async def test_retired_idle_connections_are_not_used_again():
+    async with standins.target() as target:
+        await asyncio.gather(
+            *(target.client.run(standins.work(f"r{n}")) for n in range(5))
+        )
+        await processes.switch(
+            target.address,
+            target_switches.TargetSwitches(silence_connections=True),
+        )
+        with pytest.raises(base.LostError):
+            await target.client.run(standins.work("silent", deadline_ms=50))
+        await asyncio.sleep(http.RETIRE_EVERY_S)
+        target.client.retire_idle()
+        await target.client.run(standins.work("r5"))
