Answer unreadable HTTP with an error of the closed list

Cause: aiohttp answered it by itself, in plain text, and wrote a traceback of many lines into the log, which has one line of key=value pairs for an event. Ruled out: a logger that swallows all of aiohttp's records; errors elsewhere would vanish too. Change: the connection class makes the answer as for every other error.

--- a/src/auburnrock/shells/front.py
+++ b/src/auburnrock/shells/front.py
@@ -1,6 +1,7 @@
 """The port for callers and for the target beside this node."""
 
 import abc
+import asyncio
 import math
 
 from aiohttp import web
@@ -18,6 +19,7 @@
 
 LONGEST_DEADLINE_MS = 60_000
 BACKLOG = 1024
+HTTP_INTERNAL_ERROR = 500
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -45,6 +47,42 @@
         """Handles one announcement; returns why it is refused, if it is."""
 
 
+class _Connection(web.RequestHandler):
+    """Answers what is no readable HTTP like every other error."""
+
+    __slots__ = ()
+
+    def log_exception(self, *_arguments, **_options) -> None:
+        """Writes nothing: a traceback is no event, and the answer says why."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTP_INTERNAL_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Makes the answer; called by aiohttp."""
+        super().handle_error(request, status, exc, message)
+        kind = errors.ErrorKind.BAD_REQUEST
+        if status >= HTTP_INTERNAL_ERROR:
+            kind = errors.ErrorKind.INTERNAL
+        text = f"{message or repr(exc)}; send a well-formed request"
+        response = failure_response(errors.Failure(kind, text), "")
+        response.force_close()
+        return response
+
+
+class _Server(web.Server):
+    """Makes connections whose errors are of the closed list."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Called by asyncio for each connection."""
+        return _Connection(
+            self, loop=asyncio.get_running_loop(), access_log=None
+        )
+
+
 class Front(aiomisc.Service):
     """The HTTP server of a node.
 
@@ -79,7 +117,7 @@
 
     async def start(self) -> None:
         """Opens the port."""
-        server = web.Server(self._handle, access_log=None)
+        server = _Server(self._handle)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         self._site = web.TCPSite(
--- a/tests/cover/test_requests_processes.py
+++ b/tests/cover/test_requests_processes.py
@@ -1,6 +1,7 @@
 """Requests on real processes, checked against what the targets executed."""
 
 import asyncio
+import socket
 
 import pytest
 import uuid_utils
@@ -230,3 +231,28 @@
         assert seen.kind == kind, seen
         assert seen.ran == "no"
         assert seen.status == errors.ANSWERS[errors.ErrorKind(kind)].status
+
+
+async def test_garbage_ends_no_process(fleet, callers):
+    host = fleet.hosts[0]
+    ports = (
+        host.settings.http_port,
+        host.settings.peer_port,
+        host.settings.control_port,
+    )
+    lengths = (b"\xff\xff\xff\xff", b"\0\0\0\x05", b"\0\0\0\0")
+    for port in ports:
+        for start in (*lengths, b"GET / HTTP/9\r\n"):
+            with socket.create_connection((host.settings.address, port)) as end:
+                end.sendall(start + b"\x93\xc1garbage\r\n\r\n")
+                if port == host.settings.http_port:
+                    answer = await asyncio.to_thread(end.recv, 4_096)
+                    assert answer.split(b" ")[1] == b"400"
+                    assert b"Auburnrock-Error: bad_request" in answer
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as end:
+        for size in (0, 1, 50, 9_000):
+            end.sendto(b"\xc1" * size, (host.settings.address, ports[1]))
+    for _ in range(3):
+        assert (await callers.call(host, key="a")).status == 200
+    assert host.daemon.popen.poll() is None
+    assert "Traceback" not in host.daemon.output()
