--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -27,6 +27,14 @@
         """Handles the tick; must not block."""
 
 
+class TotalsListener(abc.ABC):
+    """Is given the load totals that nodes send to an assigner."""
+
+    @abc.abstractmethod
+    def on_total(self, total: messages.LoadTotal) -> None:
+        """Takes one in; must not block."""
+
+
 class LeaseTask(
     aiomisc.Service,
     datagrams.DatagramHandler,
@@ -41,7 +49,9 @@
       sync: owner of the replica.
       runner: carries out actions.
       event_log: where events go.
+      port: UDP port to listen on; the record may advertise another.
       listeners: are told the time after each tick.
+      totals: is given the load totals received; set when the node is wired.
       member: the engine's part; None before the replica is complete.
     """
 
@@ -52,6 +62,7 @@
         sync: store_sync.StoreSync,
         runner: action_runner.ActionRunner,
         event_log: logs.EventLog,
+        port: int,
     ):
         super().__init__()
         self.record = record
@@ -59,7 +70,9 @@
         self.sync = sync
         self.runner = runner
         self.event_log = event_log
+        self.port = port
         self.listeners: list[TickListener] = []
+        self.totals: TotalsListener | None = None
         self.member: member.Member | None = None
 
     async def start(self) -> None:
@@ -73,13 +86,22 @@
         )
         self.sync.listeners.append(self)
         self.runner.socket = await datagrams.open_socket(
-            self, self.record.address, self.record.peer_port
+            self,
+            self.runner.traffic,
+            self.record.address,
+            self.port,
         )
         self.start_event.set()
         while True:
             self._tick()
             await asyncio.sleep(TICK_S)
 
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes the socket and drops the calls under way."""
+        if self.runner.socket is not None:
+            self.runner.socket.close()
+        self.runner.close()
+
     def live(self) -> bool:
         """Whether this node's lease is valid at this moment."""
         return self.member is not None and self.member.holder.live(
@@ -103,6 +125,10 @@
         """Handles a datagram; replies go to its sender."""
         if self.member is None:
             return
+        if isinstance(message, messages.LoadTotal):
+            if self.totals is not None:
+                self.totals.on_total(message)
+            return
         watermark = getattr(message, "watermark", 0)
         if watermark > self.sync.view.replica.revision:
             self.sync.on_hint(sender[0], sender[1], watermark)
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -1,5 +1,6 @@
 """Wires the tasks of one node together."""
 
+import asyncio
 import secrets
 
 import aiomisc
@@ -16,9 +17,10 @@
 from auburnrock.shells import front
 from auburnrock.shells import lease_task
 from auburnrock.shells import logs
-from auburnrock.shells import metrics as metrics_lib
 from auburnrock.shells import peer_server
 from auburnrock.shells import quarantine_task
+from auburnrock.shells import rebalance_task
+from auburnrock.shells import request_tally
 from auburnrock.shells import results_task
 from auburnrock.shells import router
 from auburnrock.shells import settings as settings_lib
@@ -27,7 +29,7 @@
 from auburnrock.targets import base as targets_base
 
 RANDOM_BITS = 20
-UPKEEP_INTERVAL_MS = 1_000
+UPKEEP_INTERVAL_MS = 200
 
 
 def new_incarnation() -> int:
@@ -87,6 +89,14 @@
         """The shards to grant now."""
         return self.assignment.releases.grantable()
 
+    def is_moving(self) -> bool:
+        """Whether a shard is being released."""
+        return any(self.assignment.releases.releases.values())
+
+    def on_grant_answered(self) -> None:
+        """Goes on with releases."""
+        self.assignment.on_grant_answered()
+
     def on_target_ended(self) -> list[records.QuarantineRecord]:
         """Notes what the target ran; see the base class."""
         return self.executor.on_target_ended()
@@ -104,15 +114,15 @@
         self.next_ms = 0
 
     def on_tick(self, now_ms: int) -> None:
-        """Writes open quarantine records; each second forgets old state."""
-        self.node.quarantine.tick(now_ms)
-        self.node.executor.results.expire(clock.wall_ms())
-        self.node.results.tick(now_ms)
+        """Writes open quarantine records and forgets old state."""
+        self.node.note_end()
         if now_ms < self.next_ms:
             return
         self.next_ms = now_ms + UPKEEP_INTERVAL_MS
+        self.node.quarantine.tick(now_ms)
+        self.node.executor.results.expire(clock.wall_ms())
+        self.node.results.tick(now_ms)
         self.node.entry_router.forget_ended()
-        self.node.report_metrics()
 
 
 class Node:
@@ -121,12 +131,14 @@
     Attributes:
       settings: its settings.
       event_log: its log and time line.
-      metrics: where its metrics go.
       incarnation: number of this start.
+      ended: set once other nodes have ended this incarnation, as after a
+        long freeze; the process goes on with a new one.
       sync: owns the replica.
       lease: holds the lease.
       target: knows the target beside it.
       assignment: decides what it serves.
+      router: routes and counts the callers' requests.
       front: serves callers.
       services: the tasks to start, in order.
     """
@@ -141,8 +153,8 @@
         self.settings = settings
         self.platform = platform
         self.event_log = event_log
-        self.metrics = metrics_lib.connect(settings.statsd, settings.name)
         self.incarnation = new_incarnation()
+        self.ended = asyncio.Event()
         self.peers = frames.PeerConnections(_NoRequests(event_log))
         self.sync = store_sync.StoreSync(
             platform, self.peers, self.incarnation, event_log
@@ -151,7 +163,12 @@
             platform, self.sync, event_log, self.incarnation
         )
         self.lease = lease_task.LeaseTask(
-            self._record(), timing, self.sync, self.runner, event_log
+            self._record(),
+            timing,
+            self.sync,
+            self.runner,
+            event_log,
+            settings.peer_port,
         )
         self.target = target_task.TargetTask(self.lease, timing, event_log)
         self.assignment = assignment_task.AssignmentTask(
@@ -181,6 +198,14 @@
             event_log,
         )
         self.executor.results_source = self.results
+        self.rebalance = rebalance_task.RebalanceTask(
+            settings,
+            self.assignment,
+            self.peers,
+            self.executor.meter,
+            event_log,
+        )
+        self.lease.totals = self.rebalance
         self.target.shards = TargetEvents(
             self.assignment, self.executor, self.quarantine
         )
@@ -193,10 +218,11 @@
         )
         self.entry_router.table = self.sync
         node_router = NodeRouter(self.entry_router, self.assignment)
+        self.router = request_tally.CountingRouter(node_router)
         self.front = front.Front(
             settings.address,
             settings.http_port,
-            node_router,
+            self.router,
             self.target,
             settings.largest_body_bytes,
         )
@@ -207,16 +233,24 @@
             self.quarantine,
             event_log,
         )
+        handler.figures = self.rebalance
+        handler.traffic = self.runner.traffic
+        self.peers.handler.traffic = self.runner.traffic
         self.peer_server = peer_server.PeerServer(
             settings.address, settings.peer_port, handler, self.peers
         )
         self.sync.listeners += [
             self.assignment,
             self.results,
+            self.rebalance,
             self.quarantine,
             node_router,
         ]
-        self.lease.listeners += [self.assignment, Upkeep(self)]
+        self.lease.listeners += [
+            self.assignment,
+            self.rebalance,
+            Upkeep(self),
+        ]
         self.services: list[aiomisc.Service] = [
             self.front,
             self.sync,
@@ -225,27 +259,21 @@
             self.target,
         ]
 
+    def note_end(self) -> None:
+        """Notes when this incarnation was ended by other nodes."""
+        member = self.lease.member
+        if member is None or self.ended.is_set():
+            return
+        if member.holder.ended and not member.holder.leaving:
+            self.event_log.write("incarnation_ended")
+            self.ended.set()
+
     def begin_drain(self) -> None:
         """Begins to give away all that this node owns."""
         if self.lease.member is not None:
             self.lease.member.holder.drain()
         self.assignment.releases.leave()
 
-    def report_metrics(self) -> None:
-        """Sends the gauges; docs/operators/metrics.md lists them."""
-        metrics = self.metrics
-        view = self.sync.view
-        metrics.gauge("lease.live", int(self.lease.live()))
-        metrics.gauge("replica.revision", view.replica.revision)
-        metrics.gauge("store.reachable", int(self.sync.store_reachable))
-        metrics.gauge("requests.in_progress", self.front.in_progress)
-        metrics.gauge(
-            "shards.owned", len(view.pages.shards_of(self.incarnation))
-        )
-        metrics.gauge(
-            "configuration.revision", self.assignment.in_force.revision
-        )
-
     def _record(self) -> records.NodeRecord:
         settings = self.settings
         return records.NodeRecord(
@@ -254,7 +282,7 @@
             region=settings.region,
             zone=settings.zone,
             address=settings.address,
-            peer_port=settings.peer_port,
+            peer_port=settings.advertised_peer_port or settings.peer_port,
             http_port=settings.http_port,
             control_port=settings.control_port,
         )
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -1,5 +1,6 @@
 """The port for other nodes' requests and pulls, and for the client library."""
 
+import abc
 import asyncio
 
 import aiomisc
@@ -16,6 +17,14 @@
 SILENCE_CHECK_S = 0.1
 
 
+class FiguresSource(abc.ABC):
+    """Knows the load of this node's shards."""
+
+    @abc.abstractmethod
+    def answer(self, pull: messages.PullFigures) -> messages.Figures:
+        """The figures for an assigner."""
+
+
 class PeerHandler(frames.FrameHandler):
     """Runs the requests and answers the pulls that peers send.
 
@@ -25,6 +34,7 @@
       results: knows what this node remembers of released shards.
       quarantine: is told of requests that crashed targets.
       event_log: where events go.
+      figures: knows the load; set when the node is wired.
       running: task of each exchange in progress, by connection and stream.
     """
 
@@ -41,6 +51,7 @@
         self.results = results
         self.quarantine = quarantine
         self.event_log = event_log
+        self.figures: FiguresSource | None = None
         self.running: dict[
             tuple[frames.FrameConnection, int], asyncio.Task
         ] = {}
@@ -66,6 +77,8 @@
             case messages.Suspects():
                 self.quarantine.on_told(frame.data)
                 connection.send(messages.Results(frame.stream, b""))
+            case messages.PullFigures() if self.figures is not None:
+                connection.send(self.figures.answer(frame))
             case _:
                 self.on_garbage(f"unexpected frame {type(frame).__name__}")
 
--- a/src/auburnrock/shells/settings.py
+++ b/src/auburnrock/shells/settings.py
@@ -14,9 +14,12 @@
     "http_port": (1, LARGEST_PORT),
     "peer_port": (1, LARGEST_PORT),
     "control_port": (1, LARGEST_PORT),
+    "advertised_peer_port": (0, LARGEST_PORT),
     "largest_body_bytes": (1, 15_000_000),
     "drain_limit_ms": (1, 600_000),
     "clock_margin_ms": (0, 60_000),
+    "rebalance_interval_ms": (200, 600_000),
+    "rebalance_after_ms": (0, 600_000),
 }
 """Smallest and largest value of each number; a body must fit in a frame."""
 
@@ -38,12 +41,19 @@
       http_port: port for callers and for the target beside it.
       peer_port: port for the other nodes, UDP and TCP.
       control_port: port for the operators' tool.
+      advertised_peer_port: where the other nodes find `peer_port`, if
+        something forwards to it; 0 for `peer_port` itself.
       platform: host:port of the platform's key-value service.
       statsd: host:port of the metrics' collector; empty for none.
       largest_body_bytes: longest request body that is accepted.
       drain_limit_ms: how long a planned stop waits for requests in progress.
       clock_margin_ms: how far callers' clocks may be off, for the birth time
         of idempotency keys.
+      rebalance_interval_ms: time between two load reports, and between two
+        decisions on planned moves.
+      rebalance_after_ms: how long after its start this node leaves shards
+        where they are; as it does not know what moved before, less than the
+        minute of `churn_per_minute` lets a restart give a second budget.
     """
 
     name: str
@@ -58,6 +68,9 @@
     largest_body_bytes: int = 1_000_000
     drain_limit_ms: int = 10_000
     clock_margin_ms: int = 500
+    advertised_peer_port: int = 0
+    rebalance_interval_ms: int = 10_000
+    rebalance_after_ms: int = 60_000
 
 
 def load(path: str) -> DaemonSettings:
--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -17,7 +17,10 @@
 RETIRE_EVERY_S = 1.0
 CONTROL_CONNECTIONS = 2
 FEWEST_CONNECTIONS = 12
-CONTROL_TIMEOUT_MS = 500
+CONTROL_TIMEOUT_MS = 250
+"""Short, so that an order lost on a silent connection is sent again on a new
+one while the grant before it still lasts."""
+
 _MILLISECONDS_PER_SECOND = 1_000
 
 # Headers of one connection (RFC 9110, 7.6.1) and those that the client sets.
@@ -106,7 +109,7 @@
       pool: makes and keeps those.
       retired: former pools with requests that have not ended.
       fresh: session that makes a connection for each request.
-      control: the same, for orders, so that they wait behind no work.
+      control: session for orders, so that they wait behind no work.
     """
 
     def __init__(
@@ -331,5 +334,5 @@
         address,
         kept=kept,
         fresh=http_client.make_session(fresh, None),
-        control=http_client.make_session(CONTROL_CONNECTIONS, None),
+        control=http_client.make_session(CONTROL_CONNECTIONS, IDLE_LIMIT_S),
     )
--- a/src/auburnrock_standins/target.py
+++ b/src/auburnrock_standins/target.py
@@ -29,7 +29,7 @@
     "cold_service_time_ms", 50, "how long a request runs while cold"
 )
 _PRINT_EXECUTIONS = flags.DEFINE_bool(
-    "print_executions", False, "print a line as each execution begins"
+    "print_executions", False, "write a line when work begins"
 )
 
 
