Honour a target that drains, and leave the target alone in a planned stop

Cause 1: the stop of a daemon told its target to drain. The target stayed, refused all work for good, and the next daemon beside it was given shards: requests failed as 'draining' until the target was started anew. Cause 2: 'draining' in an announcement was read by nobody but the status. Ruled out: ending the drain by a further order (targets have none); taking a draining target for an ended one (its work goes on under its grant). Change: the node's record says that its target drains; such a node is given no shards or requests, gives its shards away as in a planned stop, refuses requests that need no owner, and is back when a target that does not drain announces itself. A planned stop no longer drains the target. The stand-in target ends in order on SIGTERM: it drains, finishes, waits to be let go.

--- a/src/auburnrock/engine/grants.py
+++ b/src/auburnrock/engine/grants.py
@@ -30,6 +30,7 @@
       checks_grants: whether it refuses work without a valid grant.
       clock_ms: its latest clock reading.
       received_ms: when that reading was received, on the node's clock.
+      draining: whether it wants no new work.
     """
 
     service: str
@@ -37,6 +38,7 @@
     checks_grants: bool
     clock_ms: int
     received_ms: int
+    draining: bool = False
 
 
 class Grants:
@@ -93,6 +95,7 @@
             announcement.checks_grants,
             announcement.clock_ms,
             now_ms,
+            announcement.draining,
         )
         return is_new and former is not None
 
--- a/src/auburnrock/engine/hand_over.py
+++ b/src/auburnrock/engine/hand_over.py
@@ -36,12 +36,7 @@
 def can_own(view: view_lib.View, service: str, incarnation: int) -> bool:
     """Whether a node may be given shards of a service."""
     record = view.members.get(incarnation)
-    return (
-        record is not None
-        and record.state == records.NodeState.ACTIVE
-        and record.service == service
-        and bool(record.target_incarnation)
-    )
+    return record is not None and record.takes_work(service)
 
 
 def candidates(
--- a/src/auburnrock/engine/members.py
+++ b/src/auburnrock/engine/members.py
@@ -103,12 +103,10 @@
         ]
 
     def serving(self, service: str) -> list[records.NodeRecord]:
-        """The ACTIVE nodes beside a target of a service, by incarnation."""
+        """The nodes that take work of a service, by incarnation."""
         if service not in self._serving:
             self._serving[service] = [
-                record
-                for record in self.active()
-                if record.service == service and record.target_incarnation
+                record for record in self.active() if record.takes_work(service)
             ]
         return self._serving[service]
 
--- a/src/auburnrock/engine/page_change.py
+++ b/src/auburnrock/engine/page_change.py
@@ -162,8 +162,8 @@
     record = members.get(move.to)
     if record is None or not members.is_active(move.to):
         return "the next owner is not active"
-    if record.service != move.service or not record.target_incarnation:
-        return "the next owner has no target of the service"
+    if not record.takes_work(move.service):
+        return "the next owner has no target of the service that takes work"
     change.moving[move.shard] = move.to
     change.told.update((owner, move.to))
     change.reasons.append(f"move of {move.shard} to {move.to:x}")
--- a/src/auburnrock/engine/release.py
+++ b/src/auburnrock/engine/release.py
@@ -240,7 +240,9 @@
         return self.grants.has_surely_ended(now_ms)
 
     def _must_all_go(self, service: str, now_ms: int) -> bool:
-        return self.leaving or self._target_ended(service, now_ms)
+        target = self.grants.target
+        drains = target is not None and target.draining
+        return self.leaving or drains or self._target_ended(service, now_ms)
 
     def _begin(self, now_ms: int) -> None:
         if not self.own.owned:
--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -60,6 +60,7 @@
       target_address: host:port of the target.
       target_incarnation: incarnation that the target announced.
       checks_grants: whether the target refuses work without a valid grant.
+      target_draining: whether the target wants no new work.
       witnesses: the peers that renew its lease.
       witness_version: grows with each change of `witnesses`.
       state: see NodeState.
@@ -78,11 +79,21 @@
     target_address: str = ""
     target_incarnation: str = ""
     checks_grants: bool = True
+    target_draining: bool = False
     witnesses: list[Witness] = []
     witness_version: int = 0
     state: NodeState = NodeState.ACTIVE
     writer: str = ""
 
+    def takes_work(self, service: str) -> bool:
+        """Whether the node may be given shards and requests of a service."""
+        return (
+            self.state is NodeState.ACTIVE
+            and self.service == service
+            and bool(self.target_incarnation)
+            and not self.target_draining
+        )
+
 
 class ShardEntry(msgspec.Struct, array_like=True):
     """Owner of one shard.
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -159,9 +159,10 @@
         target = self.target_task.grants.target
         if target is None or target.service != service:
             return _REFUSALS[release.Admission.NO_TARGET]
-        if self.releases.leaving:
+        if self.releases.leaving or target.draining:
             return errors.Failure(
-                errors.ErrorKind.DRAINING, "this node takes no new work"
+                errors.ErrorKind.DRAINING,
+                "this node or its target takes no new work",
             )
         return 0
 
--- a/src/auburnrock/shells/planned_stop.py
+++ b/src/auburnrock/shells/planned_stop.py
@@ -1,10 +1,13 @@
-"""A planned stop: gives everything away, finishes, and only then ends."""
+"""A planned stop: gives everything away, finishes, and only then ends.
+
+The target is not told to drain: it stays, and the next daemon beside it would
+find it refusing all work. Without shards and requests it has nothing to do.
+"""
 
 import asyncio
 
 from auburnrock import records
 from auburnrock.shells import node as node_lib
-from auburnrock.targets import base as targets_base
 
 POLL_S = 0.02
 NOTICE_S = 1.0
@@ -33,7 +36,6 @@
         await self._until(self._gave_all_away, self.limit_s)
         node.front.accepting = False
         await asyncio.sleep(NOTICE_S)
-        await self._drain_target()
         await node.front.close_port()
         await self._until(self._idle, self.limit_s)
         await self._end_record()
@@ -66,15 +68,6 @@
             and not node.peer_server.handler.running
         )
 
-    async def _drain_target(self) -> None:
-        client = self.node.target.client
-        if client is None:
-            return
-        try:
-            await client.drain()
-        except targets_base.TargetError as error:
-            self.node.event_log.write("target_not_drained", reason=str(error))
-
     async def _end_record(self) -> None:
         """Ends the own incarnation, so that nobody waits for its lease."""
         member = self.node.lease.member
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -169,6 +169,7 @@
         self.announced = None
         self.grants.on_ended()
         self.lease.member.holder.set_target("", "", "", True)
+        self.lease.member.holder.wanted.target_draining = False
         self._note_end(reason)
 
     def _is_another(self, announcement: targets_base.Announcement) -> bool:
@@ -206,6 +207,7 @@
             announcement.incarnation,
             announcement.checks_grants,
         )
+        member.holder.wanted.target_draining = announcement.draining
 
     def _note_end(self, reason: str) -> None:
         self.event_log.write("target_ended", reason=reason)
--- a/src/auburnrock_standins/target.py
+++ b/src/auburnrock_standins/target.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import signal
 
 from absl import app
 from absl import flags
@@ -39,9 +40,19 @@
     """Serves, and announces itself if a node is named, until it is ended."""
     server, runner = await target_server.start(settings, address, port)
     host, bound_port = runner.addresses[0][:2]
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    announcing = None
     if node:
-        await server.announce_forever(node, f"{host}:{bound_port}")
-    await asyncio.Event().wait()
+        announcing = loop.create_task(
+            server.announce_forever(node, f"{host}:{bound_port}")
+        )
+    await stopping.wait()
+    await server.finish()
+    if announcing is not None:
+        announcing.cancel()
+    await runner.cleanup()
 
 
 def main(arguments: list[str]) -> None:
--- a/src/auburnrock_standins/target_server.py
+++ b/src/auburnrock_standins/target_server.py
@@ -20,6 +20,8 @@
 ANNOUNCE_TIMEOUT_S = 0.5
 REFUSED_PAUSE_S = 0.05
 SHORTEST_PAUSE_S = 0.02
+FINISH_LIMIT_S = 10.0
+RELEASED_FOR_S = 1.0
 DEFAULT_DEADLINE_MS = 2_000
 JOURNAL_PATH = "/auburnrock/journal"
 MAX_BODY_BYTES = 8_000_000
@@ -286,6 +288,22 @@
             draining=self.draining,
         )
 
+    async def finish(self) -> None:
+        """Takes nothing new, ends what runs and waits to be let go.
+
+        It stays until its node has taken back all shards, so that requests
+        already on their way are refused and not lost.
+        """
+        self.draining = True
+        self.announce_now.set()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FINISH_LIMIT_S
+        busy_s = loop.time()
+        while loop.time() < min(end_s, busy_s + RELEASED_FOR_S):
+            if self.holder.epochs or self.tasks:
+                busy_s = loop.time()
+            await asyncio.sleep(SHORTEST_PAUSE_S)
+
     async def announce_forever(self, node: str, address: str) -> None:
         """Announces itself; sooner again after a refused one or a failure.
 
