Wait for the results that a move brings before judging a repeat

Cause: the owner never called what waits for them, so a repeat that came between the move and the former owner's answer was told 'outcome unknown' though its result was on the way. Work that must not repeat and came without a shard, as a foreign program could send it, ran without any record of it. Ruled out: waiting in the entry, which does not know of the move. Conclusion: planned moves keep the answers of repeats from their first moment.

--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -22,11 +22,12 @@
 from auburnrock.shells import logs
 from auburnrock.shells import router
 from auburnrock.shells import target_slots
-from auburnrock.shells import wire
+from auburnrock.shells import target_work
 from auburnrock.targets import base as targets_base
 
-_SHED_KINDS = frozenset(
-    {errors.ErrorKind.OVERLOADED, errors.ErrorKind.TARGET_REFUSED}
+_WITHOUT_SHARD = errors.Failure(
+    errors.ErrorKind.MISSING_IDEMPOTENCY_KEY,
+    "work that must not repeat came without the shard that its key names",
 )
 
 
@@ -148,8 +149,10 @@
         if request.shard >= 0:
             place = pages_lib.ServiceShard(request.service, request.shard)
             self.meter.arrived(place, request.key, clock.now_ms())
-        if request.idempotent or request.shard < 0:
+        if request.idempotent:
             return await self._run_with_place(request)
+        if request.shard < 0:
+            return self.refuse(request, _WITHOUT_SHARD)
         return await self._run_at_most_once(request, epoch)
 
     def refuse(
@@ -192,6 +195,11 @@
         The work goes on if its caller leaves: its answer is kept for the
         repeat that may come.
         """
+        if self.results_source is not None:
+            await self.results_source.wait_for(request.service, request.shard)
+            epoch = self.admission.admit(request.service, request.shard)
+            if isinstance(epoch, errors.Failure):
+                return self.refuse(request, epoch)
         self.results.own(request.service, request.shard, epoch, clock.wall_ms())
         name = idempotency.WorkName(
             request.service, request.key, "", request.idempotency_key
@@ -200,7 +208,7 @@
             clock.wall_ms(),
             request.shard,
             name,
-            _mark(request),
+            target_work.fingerprint_of(request),
             request.first_try,
         )
         if isinstance(verdict, idempotency.Decline):
@@ -256,7 +264,7 @@
     ) -> messages.Response | messages.Refusal:
         """Waits for a place at the target, checks again and runs."""
         deadline_at_ms = clock.now_ms() + request.deadline_ms
-        mark = _mark(request)
+        mark = target_work.fingerprint_of(request)
         verdict = self.quarantine.check(clock.wall_ms(), mark)
         if isinstance(verdict, errors.Failure):
             return self.refuse(request, verdict)
@@ -336,7 +344,7 @@
                 errors.ErrorKind.DEADLINE_EXCEEDED, "its time was over here"
             )
             return self._not_sent(request, failure)
-        work = _work(request, epoch, deadline_ms)
+        work = target_work.work_of(request, epoch, deadline_ms)
         # A connection that has gone silent costs a non-idempotent request its
         # outcome, so such a request never meets an older one.
         fresh = is_second or not request.idempotent
@@ -362,7 +370,7 @@
             stream=request.stream,
             request_id=request.request_id,
             status=answer.status,
-            headers=_without_own(answer.headers),
+            headers=target_work.without_own_headers(answer.headers),
             body=answer.body,
             owner=self.incarnation,
             epoch=epoch,
@@ -377,7 +385,7 @@
             if error.connection_ended:
                 await self.crash_watch.after_lost_connection()
         refusal = self.refuse(request, error.failure)
-        return Sent(refusal, _outcome(error))
+        return Sent(refusal, target_work.outcome_of(error))
 
     def _not_sent(
         self, request: messages.Request, failure: errors.Failure
@@ -399,51 +407,3 @@
     except targets_base.TargetError:
         # The work ends with its deadline; nobody waits for it.
         return
-
-
-def _without_own(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Leaves out the headers that each answer is given anew.
-
-    A kept answer is given to repeats, whose request ids differ.
-    """
-    return [
-        (name, value)
-        for name, value in headers
-        if not name.lower().startswith(wire.OWN_HEADER_PREFIX)
-    ]
-
-
-def _outcome(error: targets_base.TargetError) -> concurrency_limit.Outcome:
-    if isinstance(error, targets_base.LostError):
-        if error.silent:
-            return concurrency_limit.Outcome.TIMED_OUT
-        return concurrency_limit.Outcome.LOST
-    if error.failure.kind in _SHED_KINDS:
-        return concurrency_limit.Outcome.REFUSED
-    return concurrency_limit.Outcome.ABANDONED
-
-
-def _mark(request: messages.Request) -> str:
-    return quarantine_lib.fingerprint(
-        request.service,
-        request.method,
-        request.path,
-        request.key,
-        request.body,
-    )
-
-
-def _work(
-    request: messages.Request, epoch: int, deadline_ms: int
-) -> targets_base.Work:
-    return targets_base.Work(
-        request_id=request.request_id,
-        method=request.method,
-        path=request.path,
-        headers=request.headers,
-        body=request.body,
-        key=request.key,
-        shard=request.shard,
-        epoch=epoch,
-        deadline_ms=deadline_ms,
-    )
--- /dev/null
+++ b/tests/cover/test_executor.py
@@ -0,0 +1,139 @@
+import uuid_utils
+
+from auburnrock import errors
+from auburnrock import messages
+from auburnrock.engine import idempotency
+from auburnrock.shells import clock
+from auburnrock.shells import executor
+from auburnrock.shells import logs
+from auburnrock.shells import target_slots
+from auburnrock.targets import base as targets_base
+
+SHARD = 3
+
+
+class Target(targets_base.Target):
+    """Answers all work; counts it."""
+
+    def __init__(self):
+        self.runs = 0
+
+    async def run(self, work, fresh_connection=False):
+        self.runs += 1
+        return targets_base.WorkAnswer(status=200, headers=[], body=b"done")
+
+    async def grant(self, grant):
+        raise NotImplementedError
+
+    async def cancel(self, request_id):
+        raise NotImplementedError
+
+    async def drain(self):
+        raise NotImplementedError
+
+    async def close(self):
+        return
+
+
+class Admission(executor.Admission):
+    """Admits everything at one epoch."""
+
+    def __init__(self):
+        self.epoch: int | errors.Failure = 1
+        self.the_target = Target()
+        self.places = target_slots.TargetSlots(20, 120)
+
+    def admit(self, service, shard):
+        return self.epoch
+
+    def target(self):
+        return self.the_target
+
+    def slots(self):
+        return self.places
+
+    def watermark(self):
+        return 0
+
+    def on_idle(self, *_arguments):
+        return
+
+
+class NoCrash(executor.CrashWatch):
+    async def after_lost_connection(self):
+        return
+
+
+class Moved(executor.ResultsSource):
+    """Brings what the former owner kept only once it is waited for."""
+
+    def __init__(self, window, exported):
+        self.window = window
+        self.exported = exported
+
+    async def wait_for(self, service, shard):
+        self.window.adopt(self.exported)
+
+
+def make(admission) -> executor.Executor:
+    log = logs.event_log("test")
+    return executor.Executor(admission, NoCrash(), 1, log, 500)
+
+
+def deposit(key: str, first_try: bool) -> messages.Request:
+    return messages.Request(
+        0,
+        "r",
+        "svc",
+        "POST",
+        "/deposits",
+        [],
+        b"",
+        "a",
+        SHARD,
+        2_000,
+        False,
+        key,
+        "caller",
+        first_try,
+    )
+
+
+async def test_a_repeat_waits_for_the_results_that_a_move_brings():
+    key = str(uuid_utils.uuid7())
+    former = make(Admission())
+    assert (await former.execute(deposit(key, True))).status == 200
+    kept = former.results.export("svc", SHARD)
+    admission = Admission()
+    admission.epoch = 2
+    owner = make(admission)
+    owner.results.own("svc", SHARD, 2, clock.wall_ms() + 1)
+    owner.results_source = Moved(owner.results, kept)
+    answer = await owner.execute(deposit(key, False))
+    assert isinstance(answer, messages.Response), answer
+    assert admission.the_target.runs == 0
+
+
+async def test_a_shard_that_leaves_meanwhile_is_refused():
+    admission = Admission()
+    owner = make(admission)
+
+    class Leaving(executor.ResultsSource):
+        async def wait_for(self, service, shard):
+            admission.epoch = errors.Failure(errors.ErrorKind.MOVING, "")
+
+    owner.results_source = Leaving()
+    answer = await owner.execute(deposit(str(uuid_utils.uuid7()), True))
+    assert answer.kind is errors.ErrorKind.MOVING
+    assert isinstance(owner.results, idempotency.ResultWindow)
+    assert owner.results.shards == {}
+
+
+async def test_work_that_must_not_repeat_needs_a_shard():
+    """Only the owner of a shard knows whether it has run."""
+    admission = Admission()
+    request = deposit(str(uuid_utils.uuid7()), True)
+    request.shard = -1
+    answer = await make(admission).execute(request)
+    assert answer.kind is errors.ErrorKind.MISSING_IDEMPOTENCY_KEY
+    assert admission.the_target.runs == 0
