--- a/src/auburnrock/messages.py
+++ b/src/auburnrock/messages.py
@@ -268,6 +268,18 @@
     data: bytes
 
 
+class Suspects(msgspec.Struct, array_like=True, tag=28):
+    """Tells of requests that crashed a target; answered by empty Results.
+
+    Attributes:
+      stream: number of the exchange on this connection.
+      data: list of records.QuarantineRecord in msgpack.
+    """
+
+    stream: int
+    data: bytes
+
+
 class PullFigures(msgspec.Struct, array_like=True, tag=26):
     """An assigner asks a busy node for the load of each of its shards."""
 
@@ -286,18 +298,6 @@
     data: bytes
 
 
-class Suspects(msgspec.Struct, array_like=True, tag=28):
-    """Tells of requests that crashed a target; answered by empty Results.
-
-    Attributes:
-      stream: number of the exchange on this connection.
-      data: list of records.QuarantineRecord in msgpack.
-    """
-
-    stream: int
-    data: bytes
-
-
 class Entry(msgspec.Struct, array_like=True):
     """One record of the replica; `data` is None for a deleted one."""
 
@@ -334,9 +334,9 @@
     | Delta
     | PullResults
     | Results
+    | Suspects
     | PullFigures
     | Figures
-    | Suspects
 )
 
 
--- a/src/auburnrock/shells/frames.py
+++ b/src/auburnrock/shells/frames.py
@@ -245,8 +245,8 @@
         frame: messages.Request
         | messages.Pull
         | messages.PullResults
-        | messages.PullFigures
-        | messages.Suspects,
+        | messages.Suspects
+        | messages.PullFigures,
         timeout_s: float,
         fresh_connection: bool = False,
     ) -> messages.Frame:
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -74,11 +74,11 @@
                 )
             case messages.PullResults():
                 connection.send(self.results.answer(frame))
-            case messages.PullFigures() if self.figures is not None:
-                connection.send(self.figures.answer(frame))
             case messages.Suspects():
                 self.quarantine.on_told(frame.data)
                 connection.send(messages.Results(frame.stream, b""))
+            case messages.PullFigures() if self.figures is not None:
+                connection.send(self.figures.answer(frame))
             case _:
                 self.on_garbage(f"unexpected frame {type(frame).__name__}")
 
--- a/tests/common/request_fleet.py
+++ b/tests/common/request_fleet.py
@@ -4,7 +4,6 @@
 import collections
 import dataclasses
 import pathlib
-import re
 
 import aiohttp
 import uuid_utils
@@ -15,6 +14,7 @@
 from auburnrock.shells import http_client
 from auburnrock.shells import wire
 from auburnrock_standins import fleet as fleet_lib
+from auburnrock_standins import journal
 from auburnrock_standins import preparation
 from auburnrock_standins import processes
 from auburnrock_standins import target_switches
@@ -26,9 +26,6 @@
     "non_idempotent": [{"method": "POST", "path_prefix": "/deposits"}]},
   "booker": {"shards": 6, "timeout_ms": 2000,
     "non_idempotent": [{"method": "POST", "path_prefix": "/unlocks"}]}}}"""
-_EXECUTION = re.compile(
-    r'event=execution {"request_id":"([^"]*)","idempotency_key":"([^"]*)"'
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -184,10 +181,10 @@
     def executions(self) -> list[tuple[str, str]]:
         """Request id and idempotency key of all executions ever begun."""
         return [
-            match
+            (execution.request_id, execution.idempotency_key)
             for process in self.deployment.processes
             if "auburnrock_standins.target" in process.command
-            for match in _EXECUTION.findall(process.output())
+            for execution in journal.read_lines(process.output())
         ]
 
     def check(self, callers: Callers) -> None:
