Drive the target's task and the silence check from the lease's tick

Cause: three timers of 50 to 100 ms woke an idle daemon 40 times a second. Ruled out: a slower lease tick (the holder needs 50 ms). Change: one timer; the others listen to it.

--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -117,6 +117,7 @@
     def on_tick(self, now_ms: int) -> None:
         """Writes open quarantine records and forgets old state."""
         self.node.note_end()
+        self.node.peers.check_silence()
         if now_ms < self.next_ms:
             return
         self.next_ms = now_ms + UPKEEP_INTERVAL_MS
@@ -251,6 +252,7 @@
             self.assignment,
             end_prober.EndProber(self.lease),
             self.rebalance,
+            self.target,
             Upkeep(self),
         ]
         self.services: list[aiomisc.Service] = [
--- a/src/auburnrock/shells/peer_server.py
+++ b/src/auburnrock/shells/peer_server.py
@@ -14,8 +14,6 @@
 from auburnrock.shells import results_task
 from auburnrock.shells import store_sync
 
-SILENCE_CHECK_S = 0.1
-
 
 class FiguresSource(abc.ABC):
     """Knows the load of this node's shards."""
@@ -125,7 +123,7 @@
       address: IP number to listen on.
       port: TCP port to listen on.
       handler: handles the frames.
-      peers: this node's own connections, whose silence is watched here.
+      peers: this node's own connections, closed with the server.
     """
 
     def __init__(
@@ -143,7 +141,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Opens the port and watches for silent connections."""
+        """Opens the port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: frames.FrameConnection(self.handler),
@@ -151,10 +149,6 @@
             self.port,
             backlog=1024,
         )
-        self.start_event.set()
-        while True:
-            await asyncio.sleep(SILENCE_CHECK_S)
-            self.peers.check_silence()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Closes the port and the connections."""
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -2,7 +2,6 @@
 
 import abc
 import asyncio
-import contextlib
 
 import aiomisc
 
@@ -21,9 +20,9 @@
 from auburnrock.targets import http as http_target
 from auburnrock.targets import protocol
 
-TICK_S = 0.1
-MOVING_TICK_S = 0.02
-"""Time between looks while a shard is being released."""
+CALM_LOOK_MS = 100
+"""Time between looks while no shard is being released."""
+
 SILENCE_LIMIT_MS = 2 * protocol.ANNOUNCE_EVERY_MS
 SPREAD_TIMEOUT_S = 0.2
 DEFAULTS = records.ServiceSettings()
@@ -58,7 +57,10 @@
 
 
 class TargetTask(
-    aiomisc.Service, front.AnnouncementHandler, executor.CrashWatch
+    aiomisc.Service,
+    front.AnnouncementHandler,
+    executor.CrashWatch,
+    lease_task.TickListener,
 ):
     """Receives announcements, renews the grant, and notices crashes.
 
@@ -90,6 +92,7 @@
         self.shards: ShardSource | None = None
         self._changed = asyncio.Event()
         self._probed_ms = 0
+        self._look_at_ms = 0
         self._ending: asyncio.Task | None = None
         self._closing: set[asyncio.Task] = set()
 
@@ -100,15 +103,15 @@
             await self._grant_if_due()
             await self._probe_if_silent()
             self.slots.expire()
-            await self._wait()
+            await self._changed.wait()
+            self._changed.clear()
 
-    async def _wait(self) -> None:
+    def on_tick(self, now_ms: int) -> None:
+        """Looks at the grant regularly, more often while a shard moves."""
         is_moving = self.shards is not None and self.shards.is_moving()
-        tick_s = MOVING_TICK_S if is_moving else TICK_S
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(tick_s):
-                await self._changed.wait()
-        self._changed.clear()
+        if is_moving or now_ms >= self._look_at_ms:
+            self._look_at_ms = now_ms + CALM_LOOK_MS
+            self.wake()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Closes the connections to the target."""
