--- a/bench/failover.py
+++ b/bench/failover.py
@@ -62,6 +62,7 @@
 LOSS_AFTER_SHARE = 0.25
 IN_FORCE_LIMIT_S = 20.0
 WARM_UP_S = 0.3
+LEADER_WAIT_S = 2.0
 _IN_FORCE = re.compile(
     r"time_ms=(\d+) .*event=configuration_in_force .*"
     r"revision=(\d+)"
@@ -153,10 +154,16 @@
 async def one_kill(
     trial: trial_lib.Trial, kind: str, chance: random.Random
 ) -> list[int | None]:
-    """One run: no time if nothing was lost, None if it was not served."""
+    """One run: no time if the leader owned nothing, None if not served."""
     owners = await trial.wait_until_settled()
     leader = await trial.leader()
     other = choose_other(trial, leader, owners, chance)
+    if kind == "leader" and trial.incarnation(leader) not in owners.values():
+        # Lets the shards of another go to those that own none.
+        trial.kill_daemon(other)
+        await asyncio.sleep(LEADER_WAIT_S)
+        await trial.restart(other)
+        return []
     lost = victims(kind, leader, other)
     keys = []
     for host in lost:
@@ -179,8 +186,7 @@
     trial.prober.probes.clear()
     for host in lost:
         await trial.restart(host)
-    # A leader that owns no shard is killed all the same; another comes next.
-    return [slowest_ms] if keys else []
+    return [slowest_ms]
 
 
 def write_timeline(trial, kind, wall_ms, slowest_ms) -> None:
--- a/src/auburnrock/engine/lease.py
+++ b/src/auburnrock/engine/lease.py
@@ -253,11 +253,10 @@
         if current.revision <= self.revision:
             return
         record = records.try_decode_node(current.data)
-        if record is None:
-            # Nonsense cannot be sealed; the known witnesses go on.
-            return
-        event = "ended" if record.state in _OVER else "seen"
-        self._apply(now_ms, event, current)
+        # Nonsense cannot be sealed; the known witnesses go on.
+        if record is not None:
+            event = "ended" if record.state in _OVER else "seen"
+            self._apply(now_ms, event, current)
 
     def _renew(self, now_ms: int) -> list[actions.Action]:
         groups = self.witness_sets()
