Let a key that names no node hide no other record

Cause: a key under nodes/ without an incarnation raised when a node started, and kept a running node from learning the records that came with it. A record under another node's key was taken for that node's. Change: one reading of such keys, in records, for the view and the member; what does not fit is passed over, and the view logs it.

--- a/src/auburnrock/engine/member.py
+++ b/src/auburnrock/engine/member.py
@@ -152,7 +152,11 @@
         self, now_ms: int, value: platform_base.Value
     ) -> list[actions.Action]:
         """Takes a node's record whenever it is new, changed or deleted."""
-        incarnation = incarnation_of(value.key)
+        named = records.parse_node_key(value.key)
+        if named is None:
+            # Nonsense; the replica's view logs it.
+            return []
+        _, incarnation = named
         known = self.known.get(incarnation)
         if known is not None and value.revision <= known.value.revision:
             return []
@@ -221,14 +225,17 @@
         return asked
 
     def _learn(self, now_ms: int, value: platform_base.Value) -> None:
-        incarnation = incarnation_of(value.key)
+        named = records.parse_node_key(value.key)
+        if named is None:
+            return
+        _, incarnation = named
         if value.data is None:
             self.known.pop(incarnation, None)
             self.witness.on_record_deleted(incarnation)
             self._forget_confirmations(incarnation)
             return
         record = records.try_decode_node(value.data)
-        if record is None:
+        if record is None or (record.name, record.incarnation) != named:
             # Nonsense; the replica's view logs it. What was known stands.
             return
         if record.state is records.NodeState.ENDED:
@@ -342,11 +349,6 @@
         return [_log(event, self.holder.record, state)]
 
 
-def incarnation_of(key: str) -> int:
-    """The incarnation in a node record's key."""
-    return int(key.rpartition("/")[2], 16)
-
-
 def _confirms_end(
     former: records.NodeRecord, successor: records.NodeRecord
 ) -> bool:
--- a/src/auburnrock/engine/members.py
+++ b/src/auburnrock/engine/members.py
@@ -100,7 +100,7 @@
 
     def changed(self, keys: list[str]) -> list[int]:
         """The incarnations whose records are among these keys."""
-        named = [_parse_key(key) for key in keys if _is_node(key)]
+        named = [records.parse_node_key(key) for key in keys if _is_node(key)]
         return [pair[1] for pair in named if pair is not None]
 
     def revision(self, incarnation: int) -> int:
@@ -156,7 +156,7 @@
         return None
 
     def _update_key(self, key: str) -> list[actions.LogEvent]:
-        named = _parse_key(key)
+        named = records.parse_node_key(key)
         if named is None:
             return [_undecodable(key, "its key names no incarnation")]
         name, incarnation = named
@@ -200,17 +200,6 @@
     return key.startswith(records.NODES_PREFIX)
 
 
-def _parse_key(key: str) -> tuple[str, int] | None:
-    name, _, digits = key.removeprefix(records.NODES_PREFIX).rpartition("/")
-    try:
-        incarnation = int(digits, 16)
-    except ValueError:
-        return None
-    if not name or records.node_key(name, incarnation) != key:
-        return None
-    return name, incarnation
-
-
 def _undecodable(key: str, problem: str) -> actions.LogEvent:
     return actions.LogEvent(
         "record_undecodable", [("key", key), ("problem", problem)]
--- a/src/auburnrock/records.py
+++ b/src/auburnrock/records.py
@@ -224,6 +224,18 @@
     return f"{NODES_PREFIX}{name}/{incarnation:016x}"
 
 
+def parse_node_key(key: str) -> tuple[str, int] | None:
+    """The name and incarnation that a node's key names; None if none."""
+    name, _, digits = key.removeprefix(NODES_PREFIX).rpartition("/")
+    try:
+        incarnation = int(digits, 16)
+    except ValueError:
+        return None
+    if not name or node_key(name, incarnation) != key:
+        return None
+    return name, incarnation
+
+
 def page_key(service: str, page: int) -> str:
     """The store's key of an assignment page."""
     return f"{PAGES_PREFIX}{service}/{page:05d}"
--- a/tests/cover/test_store_sync.py
+++ b/tests/cover/test_store_sync.py
@@ -5,6 +5,7 @@
 from auburnrock import records
 from auburnrock.engine import actions
 from auburnrock.engine import lease
+from auburnrock.engine import member
 from auburnrock.engine import timing
 from auburnrock.platform import base as platform_base
 from auburnrock.shells import store_calls
@@ -89,9 +90,9 @@
         record = process.member.holder.record
         key = records.node_key(record.name, record.incarnation)
         value = platform_base.Value(key, data, 1_000)
-        for member in (owner.member, other.member):
-            member.on_record(owner.now_ms(), value)
-            assert member.known[record.incarnation].record == record
+        for observer in (owner.member, other.member):
+            observer.on_record(owner.now_ms(), value)
+            assert observer.known[record.incarnation].record == record
     assert owner.member.holder.live(owner.now_ms())
 
 
@@ -125,3 +126,17 @@
         store.put(prefix, data)
         store.put(KEY, b"2")
         await store_syncs.until(lambda: sync.view.replica.revision == 3)
+
+
+@pytest.mark.parametrize("key", ["nodes/a", "nodes/a/xyz", "nodes//1"])
+def test_a_key_that_names_no_node_hides_no_other_record(key):
+    record = assignment.node(2)
+    good = platform_base.Value(
+        records.node_key(record.name, 2), records.encode_json(record), 2
+    )
+    nonsense = platform_base.Value(key, good.data, 1)
+    own = assignment.node(1)
+    started = member.Member(own, timing.Timing(), 0, [nonsense, good])
+    assert list(started.known) == [2]
+    started.on_record(0, platform_base.Value(key, good.data, 3))
+    assert list(started.known) == [2]
