Keep loaded modules out of the garbage collector's full collections

Ruled out: the store, whose answers came within 2 ms, and contention (before). Change: the daemon freezes what is loaded before it serves.

--- a/src/auburnrock/programs/auburnrockd.py
+++ b/src/auburnrock/programs/auburnrockd.py
@@ -17,6 +17,7 @@
 from auburnrock.platform import http as http_platform
 from auburnrock.shells import control_source
 from auburnrock.shells import logs
+from auburnrock.shells import memory
 from auburnrock.shells import metrics as metrics_lib
 from auburnrock.shells import metrics_task
 from auburnrock.shells import node as node_lib
@@ -40,10 +41,16 @@
     except settings_lib.SettingsError as error:
         print(error, file=sys.stderr)
         return WRONG_SETTINGS_EXIT_CODE
-    uvloop.run(serve(settings))
+    start(settings)
     return 0
 
 
+def start(settings: settings_lib.DaemonSettings) -> None:
+    """Runs one node until it is told to stop."""
+    memory.freeze_loaded()
+    uvloop.run(serve(settings))
+
+
 async def serve(settings: settings_lib.DaemonSettings) -> None:
     """Runs one incarnation after another until it is told to stop.
 
