--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -12,6 +12,7 @@
 from auburnrock.shells import action_runner
 from auburnrock.shells import assignment_task
 from auburnrock.shells import clock
+from auburnrock.shells import end_prober
 from auburnrock.shells import executor
 from auburnrock.shells import frames
 from auburnrock.shells import front
@@ -248,6 +249,7 @@
         ]
         self.lease.listeners += [
             self.assignment,
+            end_prober.EndProber(self.lease),
             self.rebalance,
             Upkeep(self),
         ]
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -11,6 +11,7 @@
 from auburnrock.engine import grants as grants_lib
 from auburnrock.engine import timing as timing_lib
 from auburnrock.shells import clock
+from auburnrock.shells import end_prober
 from auburnrock.shells import executor
 from auburnrock.shells import front
 from auburnrock.shells import lease_task
@@ -18,15 +19,12 @@
 from auburnrock.shells import target_slots
 from auburnrock.targets import base as targets_base
 from auburnrock.targets import http as http_target
+from auburnrock.targets import protocol
 
 TICK_S = 0.1
 MOVING_TICK_S = 0.02
 """Time between looks while a shard is being released."""
-PROBE_TIMEOUT_S = 0.2
-PROBE_PAUSE_S = 0.005
-ACCEPTED_FOR_S = 0.03
-"""How long a connection must last to prove that its target lives."""
-
+SILENCE_LIMIT_MS = 2 * protocol.ANNOUNCE_EVERY_MS
 SPREAD_TIMEOUT_S = 0.2
 DEFAULTS = records.ServiceSettings()
 
@@ -91,6 +89,7 @@
         )
         self.shards: ShardSource | None = None
         self._changed = asyncio.Event()
+        self._probed_ms = 0
         self._ending: asyncio.Task | None = None
         self._closing: set[asyncio.Task] = set()
 
@@ -99,6 +98,7 @@
         self.start_event.set()
         while True:
             await self._grant_if_due()
+            await self._probe_if_silent()
             self.slots.expire()
             await self._wait()
 
@@ -258,47 +258,26 @@
             self.on_ended("its port refuses connections")
 
     async def _refuses_connections(self) -> bool:
-        """Whether nothing listens any more where the target was.
-
-        A process that ends closes its sockets one by one, so a connection may
-        still be accepted just after another was lost. Such a one ends at
-        once, and the question is asked again.
-        """
+        """Whether nothing listens any more where the target was."""
         if self.announced is None:
             return False
-        host, _, port = self.announced.address.rpartition(":")
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                while await _accepts_and_ends(host, int(port)):
-                    await asyncio.sleep(PROBE_PAUSE_S)
-        return await _refuses(host, int(port))
+        return await end_prober.refuses_connections(self.announced.address)
 
+    async def _probe_if_silent(self) -> None:
+        """Notices the end of a target that checks no grants, so gets none.
+
+        It announces itself regularly as long as it lives.
+        """
+        seen = self.grants.target
+        if self.announced is None or seen is None or seen.checks_grants:
+            return
+        now_ms = clock.now_ms()
+        silent_ms = now_ms - max(seen.received_ms, self._probed_ms)
+        if silent_ms < SILENCE_LIMIT_MS:
+            return
+        self._probed_ms = now_ms
+        if await self._refuses_connections():
+            self.on_ended("its port refuses connections")
 
-async def _accepts_and_ends(host: str, port: int) -> bool:
-    """Whether a connection is accepted, and ended with nothing sent.
 
-    Raises OSError if there is no connection.
-    """
-    reader, writer = await asyncio.open_connection(host, port)
-    try:
-        async with asyncio.timeout(ACCEPTED_FOR_S):
-            await reader.read(1)
-    except ConnectionError:
-        return True
-    except TimeoutError:
-        return False
-    finally:
-        writer.close()
-    return True
-
-
-async def _refuses(host: str, port: int) -> bool:
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
+SPREAD_TIMEOUT_S = 0.2
