Move the executor's interfaces to a module of their own

Ruled out: nothing else. Change: execution.py holds Admission, CrashWatch and ResultsSource. Conclusion: no change of behaviour.

--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -11,7 +11,7 @@
 from auburnrock.engine import release
 from auburnrock.shells import action_runner
 from auburnrock.shells import clock
-from auburnrock.shells import executor
+from auburnrock.shells import execution
 from auburnrock.shells import lease_task
 from auburnrock.shells import move_wait
 from auburnrock.shells import store_sync
@@ -46,7 +46,7 @@
     store_sync.ChangeListener,
     lease_task.TickListener,
     action_runner.Part,
-    executor.Admission,
+    execution.Admission,
 ):
     """Drives the assigner and the releases, and admits work.
 
@@ -127,7 +127,7 @@
     async def admit_after_move(
         self, service: str, shard: int, key: str, deadline_ms: int
     ) -> int | errors.Failure:
-        """The epoch to run at, or why not; see executor.Admission."""
+        """The epoch to run at, or why not; see execution.Admission."""
         epoch = self.admit(service, shard, key)
         if epoch is _REFUSALS[release.Admission.MOVING]:
             await self.moves.until_moved(service, shard, deadline_ms)
@@ -158,7 +158,7 @@
             self._advance_soon()
 
     def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
-        """The epoch to run at, or why not; see executor.Admission."""
+        """The epoch to run at, or why not; see execution.Admission."""
         if shard < 0:
             return self._admit_any(service)
         admission = self.releases.admission(
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -1,6 +1,5 @@
 """The owner's side of a request: checks, then the target beside this node."""
 
-import abc
 import asyncio
 import collections
 import itertools
@@ -19,6 +18,7 @@
 from auburnrock.engine import release
 from auburnrock.engine.placement import meter as meter_lib
 from auburnrock.shells import clock
+from auburnrock.shells import execution
 from auburnrock.shells import logs
 from auburnrock.shells import router
 from auburnrock.shells import target_slots
@@ -30,52 +30,6 @@
 )
 
 
-class Admission(abc.ABC):
-    """Says whether this node may run work on a shard now."""
-
-    @abc.abstractmethod
-    def admit(self, service: str, shard: int, key: str) -> int | errors.Failure:
-        """The epoch to run at, 0 for a service not divided by key."""
-
-    @abc.abstractmethod
-    async def admit_after_move(
-        self, service: str, shard: int, key: str, deadline_ms: int
-    ) -> int | errors.Failure:
-        """As `admit`, once a move of the shard has gone on."""
-
-    @abc.abstractmethod
-    def target(self) -> targets_base.Target | None:
-        """The target beside this node; None while there is none."""
-
-    @abc.abstractmethod
-    def slots(self) -> target_slots.TargetSlots:
-        """The places at that target."""
-
-    @abc.abstractmethod
-    def watermark(self) -> int:
-        """The replica's watermark."""
-
-    @abc.abstractmethod
-    def on_idle(self, service: str, shard: int) -> None:
-        """Notes that no request of a shard waits for the target any more."""
-
-
-class CrashWatch(abc.ABC):
-    """Finds out whether a lost connection was a crash of the target."""
-
-    @abc.abstractmethod
-    async def after_lost_connection(self) -> None:
-        """Returns once a crash is known, and its suspects, or ruled out."""
-
-
-class ResultsSource(abc.ABC):
-    """Brings along what a shard's former owner remembers."""
-
-    @abc.abstractmethod
-    async def wait_for(self, service: str, shard: int) -> None:
-        """Returns when a shard's results are there or given up."""
-
-
 class Sent(msgspec.Struct, frozen=True):
     """How a request at the target ended.
 
@@ -124,8 +78,8 @@
 
     def __init__(
         self,
-        admission: Admission,
-        crash_watch: CrashWatch,
+        admission: execution.Admission,
+        crash_watch: execution.CrashWatch,
         incarnation: int,
         event_log: logs.EventLog,
         clock_margin_ms: int,
@@ -135,7 +89,7 @@
         self.incarnation = incarnation
         self.event_log = event_log
         self.results = idempotency.ResultWindow(clock_margin_ms)
-        self.results_source: ResultsSource | None = None
+        self.results_source: execution.ResultsSource | None = None
         self.quarantine = quarantine_lib.Quarantine()
         self.meter = meter_lib.LoadMeter(clock.now_ms())
         self.running: dict[str, Running] = {}
--- a/src/auburnrock/shells/results_task.py
+++ b/src/auburnrock/shells/results_task.py
@@ -9,7 +9,7 @@
 from auburnrock.engine import idempotency
 from auburnrock.engine import pages as pages_lib
 from auburnrock.shells import clock
-from auburnrock.shells import executor
+from auburnrock.shells import execution
 from auburnrock.shells import frames
 from auburnrock.shells import logs
 from auburnrock.shells import store_sync
@@ -18,7 +18,7 @@
 KEPT_AFTER_RELEASE_MS = 10_000
 
 
-class ResultsTask(store_sync.ChangeListener, executor.ResultsSource):
+class ResultsTask(store_sync.ChangeListener, execution.ResultsSource):
     """Asks the former owner of each shard that this node is given.
 
     Attributes:
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -12,7 +12,7 @@
 from auburnrock.engine import timing as timing_lib
 from auburnrock.shells import clock
 from auburnrock.shells import end_prober
-from auburnrock.shells import executor
+from auburnrock.shells import execution
 from auburnrock.shells import front
 from auburnrock.shells import lease_task
 from auburnrock.shells import logs
@@ -58,7 +58,7 @@
 
 
 class TargetTask(
-    aiomisc.Service, front.AnnouncementHandler, executor.CrashWatch
+    aiomisc.Service, front.AnnouncementHandler, execution.CrashWatch
 ):
     """Receives announcements, renews the grant, and notices crashes.
 
@@ -156,7 +156,7 @@
         return self.client
 
     async def after_lost_connection(self) -> None:
-        """Finds out whether the target crashed; see executor.CrashWatch."""
+        """Finds out whether the target crashed; see execution.CrashWatch."""
         if self._ending is None and await self._refuses_connections():
             self.on_ended("its port refuses connections")
         if self._ending is not None:
--- a/tests/cover/test_move_wait.py
+++ b/tests/cover/test_move_wait.py
@@ -15,6 +15,7 @@
 from auburnrock.engine import timing
 from auburnrock.engine import view as view_lib
 from auburnrock.shells import clock
+from auburnrock.shells import execution
 from auburnrock.shells import executor
 from auburnrock.shells import logs
 from auburnrock.shells import move_wait
@@ -104,7 +105,7 @@
     assert not writer.may_write("pages/a/00000", 100)
 
 
-class Admission(executor.Admission):
+class Admission(execution.Admission):
     """Owns shard 0 at epoch 2 and has no target."""
 
     def admit(self, service, shard, key):
@@ -126,7 +127,7 @@
         return None
 
 
-class LateResults(executor.ResultsSource):
+class LateResults(execution.ResultsSource):
     """Brings what the former owner kept, after a while."""
 
     def __init__(self, window, kept):
