Give a repeat a new connection at whichever node it comes to

Cause: the owner knew a second attempt only by the first one running beside it. For a service that is not divided by key the entry prefers another node, whose connections to its target may be silent too: the second attempt died on one of them, and nobody retired the first node's idle connections. Ruled out: a new connection for every request (a connection each); counting such repeats outside the budget (a slow target looks the same). Change: the request frame says that it is a repeat, and a repeat always gets a new connection at the target. A node whose request is cancelled after three usual times uses none of its idle connections again.

--- a/src/auburnrock/messages.py
+++ b/src/auburnrock/messages.py
@@ -154,6 +154,7 @@
       idempotency_key: the caller's name for the work; empty if none.
       caller: who is calling, for fairness among callers.
       first_try: the caller states that it has sent this nowhere else before.
+      is_repeat: the entry has sent it before and got no answer.
     """
 
     stream: int
@@ -170,6 +171,7 @@
     idempotency_key: str
     caller: str
     first_try: bool = False
+    is_repeat: bool = False
 
 
 class Response(msgspec.Struct, array_like=True, tag=17):
--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -12,6 +12,7 @@
 from auburnrock import messages
 from auburnrock import records
 from auburnrock.engine import concurrency_limit
+from auburnrock.engine import connections
 from auburnrock.engine import idempotency
 from auburnrock.engine import limits
 from auburnrock.engine import pages as pages_lib
@@ -268,7 +269,7 @@
         verdict = self.quarantine.check(clock.wall_ms(), mark)
         if isinstance(verdict, errors.Failure):
             return self.refuse(request, verdict)
-        is_second = self._note_second_attempt(request)
+        self._note_second_attempt(request)
         ticket = limits.Ticket(
             next(self._numbers),
             request.caller,
@@ -281,13 +282,13 @@
         failure = await slots.acquire(ticket)
         if failure is not None:
             return self.refuse(request, failure)
-        return await self._run(request, Running(ticket, mark), slots, is_second)
+        return await self._run(request, Running(ticket, mark), slots)
 
-    def _note_second_attempt(self, request: messages.Request) -> bool:
-        """Whether the entry sends again what runs here in silence."""
+    def _note_second_attempt(self, request: messages.Request) -> None:
+        """Notes that the entry sends again what runs here in silence."""
         first = self.running.get(request.request_id)
         if first is None:
-            return False
+            return
         self.event_log.write(
             "target_connection_silent", request_id=request.request_id
         )
@@ -295,14 +296,12 @@
         target = self.admission.target()
         if target is not None:
             target.retire_idle()
-        return True
 
     async def _run(
         self,
         request: messages.Request,
         running: Running,
         slots: target_slots.TargetSlots,
-        is_second: bool,
     ) -> messages.Response | messages.Refusal:
         """Runs a request that has its place; gives the place back."""
         began_ms = clock.now_ms()
@@ -312,7 +311,7 @@
         )
         self.running.setdefault(request.request_id, running)
         try:
-            sent = await self._send(request, running, is_second)
+            sent = await self._send(request, running)
             outcome = sent.outcome
         finally:
             if self.running.get(request.request_id) is running:
@@ -324,9 +323,7 @@
             slots.release(running.ticket, outcome, clock.now_ms() - began_ms)
         return sent.answer
 
-    async def _send(
-        self, request: messages.Request, running: Running, is_second: bool
-    ) -> Sent:
+    async def _send(self, request: messages.Request, running: Running) -> Sent:
         """Sends to the target; the ownership is checked just before."""
         epoch = self.admission.admit(request.service, request.shard)
         if isinstance(epoch, errors.Failure):
@@ -346,8 +343,10 @@
             return self._not_sent(request, failure)
         work = target_work.work_of(request, epoch, deadline_ms)
         # A connection that has gone silent costs a non-idempotent request its
-        # outcome, so such a request never meets an older one.
-        fresh = is_second or not request.idempotent
+        # outcome, and a repeat its last attempt, so they never meet an older
+        # one.
+        fresh = request.is_repeat or not request.idempotent
+        sent_ms = clock.now_ms()
         place = (request.service, request.shard)
         self.counts[place] += 1
         self.meter.sent(clock.now_ms())
@@ -360,6 +359,9 @@
         except asyncio.CancelledError:
             self.lost[place] += 1
             self._cancel_at_target(target, request.request_id)
+            if not fresh and self._is_late(clock.now_ms() - sent_ms):
+                # Another node has answered it: this connection may be silent.
+                target.retire_idle()
             raise
         finally:
             self.counts[place] -= 1
@@ -387,6 +389,10 @@
         refusal = self.refuse(request, error.failure)
         return Sent(refusal, target_work.outcome_of(error))
 
+    def _is_late(self, waited_ms: int) -> bool:
+        usual_ms = self.admission.slots().limits.limit.latency_ms()
+        return waited_ms > connections.RETIRE_FACTOR * max(1.0, usual_ms)
+
     def _not_sent(
         self, request: messages.Request, failure: errors.Failure
     ) -> Sent:
--- a/src/auburnrock/shells/router.py
+++ b/src/auburnrock/shells/router.py
@@ -219,6 +219,7 @@
             request.idempotency_key,
             request.caller,
             request.first_try,
+            send.fresh_connection,
         )
         if self.local is not None and send.node == self.incarnation:
             return await self.local.execute(attempt)
