--- a/bench/failover.py
+++ b/bench/failover.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import collections
 import os
 import random
 import re
@@ -90,6 +91,8 @@
       served: those that were answered.
       kept_requests: the part of them for keys whose owner lived.
       kept_served: those of them that were answered.
+      kept_errors: the errors of the others, by kind. A request on its way
+        through a host that is killed ends with `not_reached`.
       served_again_ms: from the end of the outage until the lost keys were
         served; 0 if none were lost.
     """
@@ -100,6 +103,7 @@
     served: int
     kept_requests: int
     kept_served: int
+    kept_errors: dict[str, int]
     served_again_ms: int
 
 
@@ -265,6 +269,9 @@
         served=sum(not probe.error for probe in probes),
         kept_requests=len(kept),
         kept_served=sum(not probe.error for probe in kept),
+        kept_errors=collections.Counter(
+            probe.error for probe in kept if probe.error
+        ),
         served_again_ms=max(again, default=0),
     )
 
@@ -352,7 +359,8 @@
         print(
             f"outage of {each.seconds} s, lost: {each.loss}: served"
             f" {each.served} of {each.requests}; keys of living owners"
-            f" {each.kept_served} of {each.kept_requests}; lost keys served"
+            f" {each.kept_served} of {each.kept_requests}"
+            f" {each.kept_errors or ''}; lost keys served"
             f" {each.served_again_ms} ms after its end"
         )
     print(
