Give a new service its first owners when no more nodes come

Ruled out: planned moves in the first minute, which cost keys their owner. Change: pages are created when the service's nodes were the same for 1 s. Figures: the new test fails without the wait; unit and fuzz tests of the assignment pass. Conclusion: targets that start together share the shards from the start.

--- a/src/auburnrock/engine/assigner.py
+++ b/src/auburnrock/engine/assigner.py
@@ -35,6 +35,11 @@
     ends_ms: int
 
 
+class _Serving(msgspec.Struct):
+    nodes: list[int]
+    since_ms: int
+
+
 class Assigner:
     """Keeps every shard of every keyed service with a living owner.
 
@@ -47,6 +52,8 @@
       view: the replica and its views, shared with the other parts.
       chooser: chooses owners for shards that have none.
       rank_delay_ms: how long each rank waits for the one before it.
+      create_settle_ms: how long the nodes of a service must have been the
+        same before its first pages are written; 0 for no wait.
       capacities: capacity learnt for each incarnation; 1 where unknown.
       configuration: the configuration in force; None if none is.
     """
@@ -57,11 +64,14 @@
         view: view_lib.View,
         chooser: owner_choice.OwnerChooser,
         rank_delay_ms: int = RANK_DELAY_MS,
+        create_settle_ms: int = 0,
     ):
         self.incarnation = incarnation
         self.view = view
         self.chooser = chooser
         self.rank_delay_ms = rank_delay_ms
+        self.create_settle_ms = create_settle_ms
+        self._serving: dict[str, _Serving] = {}
         self.capacities: dict[int, float] = {}
         self.configuration: records.Configuration | None = None
         self.needs = needs_lib.Needs(view)
@@ -177,8 +187,19 @@
         if rank is None:
             return False
         since_ms = self.needs.pages[key].oldest_ms()
+        if self.create_settle_ms and key not in self.view.pages.by_key:
+            steady_ms = self._steady_since_ms(service, now_ms)
+            since_ms = max(since_ms, steady_ms + self.create_settle_ms)
         return now_ms >= since_ms + rank * self.rank_delay_ms
 
+    def _steady_since_ms(self, service: str, now_ms: int) -> int:
+        """Since when the nodes that serve a service are the same."""
+        nodes = [r.incarnation for r in self.view.members.serving(service)]
+        known = self._serving.get(service)
+        if known is None or known.nodes != nodes:
+            known = self._serving[service] = _Serving(nodes, now_ms)
+        return known.since_ms
+
     def _write_page(
         self,
         key: str,
--- a/src/auburnrock/shells/assignment_task.py
+++ b/src/auburnrock/shells/assignment_task.py
@@ -42,6 +42,10 @@
 }
 
 
+CREATE_SETTLE_MS = 1_000
+"""Targets of a new deployment announce themselves within about a second."""
+
+
 class AssignmentTask(
     store_sync.ChangeListener,
     lease_task.TickListener,
@@ -79,7 +83,10 @@
         self.in_force = in_force_lib.InForce()
         self.chooser = owner_choice.LeastLoaded()
         self.assigner = assigner_lib.Assigner(
-            incarnation, sync.view, self.chooser
+            incarnation,
+            sync.view,
+            self.chooser,
+            create_settle_ms=CREATE_SETTLE_MS,
         )
         self.releases: release.Releases | None = None
         self.next_tick_ms = 0
--- a/tests/cover/test_assignment.py
+++ b/tests/cover/test_assignment.py
@@ -268,3 +268,24 @@
     [call] = common.swaps(part.tick(3))
     fleet.store.swap(call)
     assert fleet.store.page().moving == {2: 3, 3: 1}
+
+
+def test_a_new_service_waits_until_no_more_nodes_come():
+    """Else the first target to announce itself was given every shard."""
+    fleet = Fleet(common.node(1), common.node(2, service=""))
+    part = assigner_lib.Assigner(
+        1,
+        common.new_view(fleet.store),
+        owner_choice.LeastLoaded(),
+        rank_delay_ms=0,
+        create_settle_ms=1_000,
+    )
+    part.on_configuration(fleet.configuration, 0)
+    assert not common.swaps(part.tick(999))
+    fleet.store.put_node(common.node(2))
+    fleet.refresh(part, 999)
+    assert not common.swaps(part.tick(1_000))
+    assert not common.swaps(part.tick(1_999))
+    [call] = common.swaps(part.tick(2_000))
+    fleet.store.swap(call)
+    assert sorted(fleet.owners()) == [1, 1, 2, 2]
