Begin a trial only once all its nodes have targets

Cause: one whole run of the tests failed with 'only the leader owns shards': the service was accepted before all targets were announced, so the first ready node got every shard. The rig raced, not the system. Change: a trial waits for all targets before it accepts the service.

--- a/src/auburnrock_standins/trial.py
+++ b/src/auburnrock_standins/trial.py
@@ -200,6 +200,19 @@
     return [found[shard] for shard in range(settings.shards)]
 
 
+async def wait_until_announced(
+    platform: http_platform.HttpPlatform, hosts: int, limit_s: float = 30.0
+) -> None:
+    """Returns when so many nodes' records name a target."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            snapshot = await platform.list(records.NODES_PREFIX)
+            nodes = [records.decode_node(each.data) for each in snapshot.values]
+            if sum(bool(node.target_incarnation) for node in nodes) == hosts:
+                return
+            await asyncio.sleep(POLL_S)
+
+
 async def accept_file(
     platform: http_platform.HttpPlatform, name: str, content: str
 ) -> int:
@@ -268,6 +281,8 @@
         )
         await fleet.start()
         platform = http_platform.connect(fleet.platform_address())
+        # Else the first nodes to be ready get all shards.
+        await wait_until_announced(platform, hosts)
         content = msgspec.json.encode({"services": {SERVICE: settings}})
         await accept_file(platform, FILE_NAME, content.decode())
         connector = aiohttp.TCPConnector(limit=0)
