Keep what grows with the fleet off the regular paths of a node

A profile at 100 named the list of active nodes (made 22 times a second), the search for former incarnations of the own name (20 times a second) and the ranking of readers (each second). Ruled out: the datagrams (their number does not grow). Change: these are worked out when a record changes.

--- a/src/auburnrock/engine/members.py
+++ b/src/auburnrock/engine/members.py
@@ -29,6 +29,7 @@
     """
 
     __slots__ = (
+        "_active",
         "_replica",
         "_serving",
         "by_incarnation",
@@ -39,6 +40,7 @@
 
     def __init__(self, replica: replica_lib.Replica):
         self._replica = replica
+        self._active: list[records.NodeRecord] | None = None
         self._serving: dict[str, list[records.NodeRecord]] = {}
         self.by_incarnation: dict[int, Member] = {}
         self.by_name: dict[str, set[int]] = {}
@@ -109,12 +111,14 @@
         return member.revision if member else 0
 
     def active(self) -> list[records.NodeRecord]:
-        """The ACTIVE nodes, by incarnation."""
-        return [
-            member.record
-            for _, member in sorted(self.by_incarnation.items())
-            if member.record.state == records.NodeState.ACTIVE
-        ]
+        """The ACTIVE nodes, by incarnation; not to be changed in place."""
+        if self._active is None:
+            self._active = [
+                member.record
+                for _, member in sorted(self.by_incarnation.items())
+                if member.record.state == records.NodeState.ACTIVE
+            ]
+        return self._active
 
     def serving(self, service: str) -> list[records.NodeRecord]:
         """The nodes that take work of a service, by incarnation."""
@@ -159,6 +163,7 @@
             return [_undecodable(key, "its key names no incarnation")]
         name, incarnation = named
         self.version += 1
+        self._active = None
         self._serving.clear()
         value = self._replica.get(key)
         if value is None:
--- a/src/auburnrock/engine/member.py
+++ b/src/auburnrock/engine/participant.py
@@ -27,7 +27,7 @@
     value: platform_base.Value
 
 
-class Member:
+class Participant:
     """One incarnation of a node among its peers.
 
     Its shell passes in datagrams, results, node records as its replica sees
@@ -38,6 +38,7 @@
       witness: renews other nodes.
       sealings: unfinished ends of other nodes, by incarnation.
       known: the node records by incarnation.
+      namesakes: known incarnations of this node's own name.
       targets_ended: nodes whose target's end is confirmed, and which target.
       nodes_ended: nodes whose own end is confirmed by an operator.
     """
@@ -47,6 +48,7 @@
         "choice_is_stale",
         "holder",
         "known",
+        "namesakes",
         "next_choice_ms",
         "nodes_ended",
         "retry_at_ms",
@@ -78,6 +80,7 @@
             record.name, record.incarnation, timing, now_ms
         )
         self.known: dict[int, Known] = {}
+        self.namesakes: set[int] = set()
         self.sealings: dict[int, sealing_module.Sealing] = {}
         self.sealings_begun = 0
         self.retry_at_ms = now_ms
@@ -231,6 +234,7 @@
         _, incarnation = named
         if value.data is None:
             self.known.pop(incarnation, None)
+            self.namesakes.discard(incarnation)
             self.witness.on_record_deleted(incarnation)
             self._forget_confirmations(incarnation)
             return
@@ -241,6 +245,8 @@
         if record.state is records.NodeState.ENDED:
             self._forget_confirmations(incarnation)
         self.known[incarnation] = Known(record, value)
+        if record.name == self.witness.name:
+            self.namesakes.add(incarnation)
         self.witness.on_record(now_ms, record)
 
     def _forget_confirmations(self, incarnation: int) -> None:
@@ -269,15 +275,15 @@
         Only once the own record exists: a start that does not get that far
         must not take part.
         """
-        own = self.holder.record
+        own = self.holder.record.incarnation
         if self.holder.revision == 0 or self.holder.ended:
             return []
         return [
             incarnation
-            for incarnation, known in self.known.items()
-            if known.record.name == own.name
-            and incarnation < own.incarnation
-            and known.record.state is not records.NodeState.ENDED
+            for incarnation in self.namesakes
+            if incarnation < own
+            and self.known[incarnation].record.state
+            is not records.NodeState.ENDED
         ]
 
     def _begin_due_sealings(self, now_ms: int) -> list[actions.Action]:
--- a/src/auburnrock/shells/control_source.py
+++ b/src/auburnrock/shells/control_source.py
@@ -1,5 +1,7 @@
 """What a node tells operators, gathered from its tasks."""
 
+import collections
+
 import result
 
 from auburnrock import errors
@@ -41,7 +43,9 @@
     def status(self) -> views.Status:
         """The node and what it knows of the fleet."""
         node = self.node
-        holder = node.lease.member.holder if node.lease.member else None
+        holder = (
+            node.lease.participant.holder if node.lease.participant else None
+        )
         record = holder.record if holder else node.lease.record
         return views.Status(
             name=node.settings.name,
@@ -147,6 +151,9 @@
 
     def _members(self) -> list[views.Member]:
         view = self.node.sync.view
+        owned: collections.Counter[int] = collections.Counter()
+        for counts in view.pages.owned.values():
+            owned.update(counts)
         found = []
         for incarnation, member in sorted(view.members.by_incarnation.items()):
             record = member.record
@@ -157,7 +164,7 @@
                     record.zone,
                     record.state,
                     record.service,
-                    len(view.pages.shards_of(incarnation)),
+                    owned.get(incarnation, 0),
                     f"{record.address}:{record.control_port}",
                 )
             )
--- a/src/auburnrock/shells/end_prober.py
+++ b/src/auburnrock/shells/end_prober.py
@@ -83,7 +83,7 @@
 
     def on_tick(self, now_ms: int) -> None:
         """Begins the probes that are due."""
-        waiting = self.lease.member.unconfirmed()
+        waiting = self.lease.participant.unconfirmed()
         self._next_ms = {
             record.incarnation: self._next_ms.get(record.incarnation, now_ms)
             for record in waiting
--- a/src/auburnrock/shells/lease_task.py
+++ b/src/auburnrock/shells/lease_task.py
@@ -8,7 +8,7 @@
 from auburnrock import messages
 from auburnrock import records
 from auburnrock.engine import actions
-from auburnrock.engine import member
+from auburnrock.engine import participant
 from auburnrock.engine import timing as timing_lib
 from auburnrock.shells import action_runner
 from auburnrock.shells import clock
@@ -53,7 +53,7 @@
       port: UDP port to listen on; the record may advertise another.
       listeners: are told the time after each tick.
       totals: is given the load totals received; set when the node is wired.
-      member: the engine's part; None before the replica is complete.
+      participant: the engine's part; None before the replica is complete.
     """
 
     def __init__(
@@ -75,12 +75,12 @@
         self._containment = containment.Containment(event_log)
         self.listeners: list[TickListener] = []
         self.totals: TotalsListener | None = None
-        self.member: member.Member | None = None
+        self.participant: participant.Participant | None = None
 
     async def start(self) -> None:
         """Opens the socket, then ticks until cancelled."""
         await self.sync.ready.wait()
-        self.member = member.Member(
+        self.participant = participant.Participant(
             self.record,
             self.timing,
             clock.now_ms(),
@@ -106,31 +106,33 @@
 
     def live(self) -> bool:
         """Whether this node's lease is valid at this moment."""
-        return self.member is not None and self.member.holder.live(
+        return self.participant is not None and self.participant.holder.live(
             clock.now_ms()
         )
 
     def expires_at_ms(self) -> int:
         """When the lease ends without another renewal; 0 without a lease."""
-        if self.member is None:
+        if self.participant is None:
             return 0
-        return self.member.holder.expires_at_ms()
+        return self.participant.holder.expires_at_ms()
 
     def on_node_ended(self, incarnation: int) -> None:
         """Takes the operator's word that a node and its target have ended."""
-        asked = self.member.on_node_ended(clock.now_ms(), incarnation)
+        asked = self.participant.on_node_ended(clock.now_ms(), incarnation)
         self.runner.run(self, asked)
 
     def on_target_ended(self, incarnation: int, target: str) -> None:
         """Takes the confirmed end of the target beside another node."""
-        asked = self.member.on_target_ended(clock.now_ms(), incarnation, target)
+        asked = self.participant.on_target_ended(
+            clock.now_ms(), incarnation, target
+        )
         self.runner.run(self, asked)
 
     def on_datagram(
         self, message: messages.Datagram, sender: tuple[str, int]
     ) -> None:
         """Handles a datagram; replies go to its sender."""
-        if self.member is None:
+        if self.participant is None:
             return
         if isinstance(message, messages.LoadTotal):
             if self.totals is not None:
@@ -139,7 +141,7 @@
         watermark = getattr(message, "watermark", 0)
         if watermark > self.sync.view.replica.revision:
             self._hint(message, sender, watermark)
-        asked = self.member.on_datagram(clock.now_ms(), message)
+        asked = self.participant.on_datagram(clock.now_ms(), message)
         for action in asked:
             if isinstance(action, actions.Reply):
                 self.runner.socket.send(action.message, sender)
@@ -175,16 +177,16 @@
         """Takes in changed node records and tells the neighbours."""
         now_ms = clock.now_ms()
         replica = self.sync.view.replica
-        self.member.set_watermark(replica.revision)
+        self.participant.set_watermark(replica.revision)
         for key in changed:
             value = replica.values.get(key)
             if key.startswith(records.NODES_PREFIX) and value is not None:
-                self.runner.run(self, self.member.on_record(now_ms, value))
+                self.runner.run(self, self.participant.on_record(now_ms, value))
         self.runner.hint(self.neighbours())
 
     def on_store_result(self, result: actions.StoreResult) -> None:
         """Takes the result of a call to the store."""
-        asked = self.member.on_result(clock.now_ms(), result)
+        asked = self.participant.on_result(clock.now_ms(), result)
         self.runner.run(self, asked)
 
     def neighbours(self) -> list[int]:
@@ -193,12 +195,12 @@
         These links make a random graph over the fleet, so news that each node
         passes on to its neighbours reaches all in a few steps.
         """
-        own = [w.incarnation for w in self.member.holder.record.witnesses]
-        return sorted({*own, *self.member.witness.watched})
+        own = [w.incarnation for w in self.participant.holder.record.witnesses]
+        return sorted({*own, *self.participant.witness.watched})
 
     def _tick(self) -> None:
         now_ms = clock.now_ms()
-        self.member.set_watermark(self.sync.view.replica.revision)
-        self.runner.run(self, self.member.tick(now_ms))
+        self.participant.set_watermark(self.sync.view.replica.revision)
+        self.runner.run(self, self.participant.tick(now_ms))
         for listener in self.listeners:
             self._containment.run(listener.on_tick, now_ms)
--- a/src/auburnrock/shells/node.py
+++ b/src/auburnrock/shells/node.py
@@ -265,17 +265,17 @@
 
     def note_end(self) -> None:
         """Notes when this incarnation was ended by other nodes."""
-        member = self.lease.member
-        if member is None or self.ended.is_set():
+        participant = self.lease.participant
+        if participant is None or self.ended.is_set():
             return
-        if member.holder.ended and not member.holder.leaving:
+        if participant.holder.ended and not participant.holder.leaving:
             self.event_log.write("incarnation_ended")
             self.ended.set()
 
     def begin_drain(self) -> None:
         """Begins to give away all that this node owns."""
-        if self.lease.member is not None:
-            self.lease.member.holder.drain()
+        if self.lease.participant is not None:
+            self.lease.participant.holder.drain()
         self.assignment.releases.leave()
 
     def _record(self) -> records.NodeRecord:
--- a/src/auburnrock/shells/planned_stop.py
+++ b/src/auburnrock/shells/planned_stop.py
@@ -52,12 +52,12 @@
 
     def _gave_all_away(self) -> bool:
         node = self.node
-        if node.lease.member is None:
+        if node.lease.participant is None:
             return True
         if node.assignment.releases.is_empty():
             return True
         # Nobody else can take the shards: there is nothing to wait for.
-        service = node.lease.member.holder.record.service
+        service = node.lease.participant.holder.record.service
         return not node.sync.view.members.serving(service)
 
     def _idle(self) -> bool:
@@ -70,12 +70,12 @@
 
     async def _end_record(self) -> None:
         """Ends the own incarnation, so that nobody waits for its lease."""
-        member = self.node.lease.member
-        if member is None:
+        participant = self.node.lease.participant
+        if participant is None:
             return
-        member.holder.leave()
+        participant.holder.leave()
         await self._until(
-            lambda: self._record_ended(member.holder), RECORD_LIMIT_S
+            lambda: self._record_ended(participant.holder), RECORD_LIMIT_S
         )
 
     def _record_ended(self, holder) -> bool:
--- a/src/auburnrock/shells/store_sync.py
+++ b/src/auburnrock/shells/store_sync.py
@@ -8,7 +8,6 @@
 
 import abc
 import asyncio
-import contextlib
 import math
 import random
 
@@ -85,13 +84,14 @@
         self.store_reachable = False
         self.listeners: list[ChangeListener] = []
         self.ready = asyncio.Event()
-        self._advanced = asyncio.Event()
         self._containment = containment.Containment(event_log)
         self._pull: asyncio.Task | None = None
         self._pull_goal = 0
         self._pull_peer = ("", 0)
         self._newest_written = 0
         self._catch_up: asyncio.Task | None = None
+        self._reads = True
+        self._ranked_version = -1
 
     async def start(self) -> None:
         """Reads the whole store, then follows it until cancelled."""
@@ -165,12 +165,6 @@
         """Whether no pull is under way."""
         return self._pull is None or self._pull.done()
 
-    async def wait_for_change(self, timeout_s: float) -> None:
-        """Returns when the replica has changed, at the latest on timeout."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await self._advanced.wait()
-
     async def _follow(self) -> None:
         """Watches the store, and reads it after each watch without news.
 
@@ -199,10 +193,14 @@
             retry_s = min(2 * retry_s, LONGEST_RETRY_S)
 
     def _is_reader(self) -> bool:
-        active = [record.incarnation for record in self.view.members.active()]
-        return self.incarnation not in active or is_reader(
-            self.incarnation, active
-        )
+        version = self.view.members.version
+        if version != self._ranked_version:
+            self._ranked_version = version
+            active = [node.incarnation for node in self.view.members.active()]
+            self._reads = self.incarnation not in active or is_reader(
+                self.incarnation, active
+            )
+        return self._reads
 
     async def _pull_until_goal(self) -> None:
         """Pulls as long as that brings news and the goal is not reached."""
@@ -225,8 +223,6 @@
             self.event_log.write_pairs(event.event, event.fields)
         if not change.keys:
             return
-        self._advanced.set()
-        self._advanced = asyncio.Event()
         for listener in self.listeners:
             self._containment.run(listener.on_replica_changed, change.keys)
 
--- a/src/auburnrock/shells/target_task.py
+++ b/src/auburnrock/shells/target_task.py
@@ -151,9 +151,9 @@
 
         Before that, whoever ends this node does not know of the target.
         """
-        if self.announced is None or self.lease.member is None:
+        if self.announced is None or self.lease.participant is None:
             return None
-        record = self.lease.member.holder.record
+        record = self.lease.participant.holder.record
         if record.target_incarnation != self.announced.incarnation:
             return None
         return self.client
@@ -171,8 +171,8 @@
             return
         self.announced = None
         self.grants.on_ended()
-        self.lease.member.holder.set_target("", "", "", True)
-        self.lease.member.holder.wanted.target_draining = False
+        self.lease.participant.holder.set_target("", "", "", True)
+        self.lease.participant.holder.wanted.target_draining = False
         self._note_end(reason)
 
     def _is_another(self, announcement: targets_base.Announcement) -> bool:
@@ -201,16 +201,16 @@
         )
 
     def _tell_holder(self, announcement: targets_base.Announcement) -> None:
-        member = self.lease.member
-        if member is None:
+        participant = self.lease.participant
+        if participant is None:
             return
-        member.holder.set_target(
+        participant.holder.set_target(
             announcement.service,
             announcement.address,
             announcement.incarnation,
             announcement.checks_grants,
         )
-        member.holder.wanted.target_draining = announcement.draining
+        participant.holder.wanted.target_draining = announcement.draining
 
     def _note_end(self, reason: str) -> None:
         self.event_log.write("target_ended", reason=reason)
--- a/tests/common/ownership.py
+++ b/tests/common/ownership.py
@@ -12,7 +12,7 @@
 
 from auburnrock import records
 from auburnrock.engine import actions
-from auburnrock.engine import member as member_module
+from auburnrock.engine import participant as participant_module
 from auburnrock.engine import store_write
 from auburnrock.engine import timing as timing_module
 from auburnrock.platform import base as platform_base
@@ -98,7 +98,7 @@
         )
         self.incarnation = incarnation
         nodes = world.store.nodes()
-        self.member = member_module.Member(
+        self.participant = participant_module.Participant(
             record, world.timing, self.now_ms(), nodes
         )
         if PAGE in world.store.values:
@@ -112,7 +112,7 @@
             return False
         owns = self.entry.owner == self.incarnation
         kept = self.entry.epoch not in self.released
-        return owns and kept and self.member.holder.live(self.now_ms())
+        return owns and kept and self.participant.holder.live(self.now_ms())
 
     def handle(self, event):
         """Runs an event now, or after the pause."""
@@ -126,8 +126,8 @@
     def tick(self):
         now_ms = self.now_ms()
         self.refresh()
-        self.perform(self.member.tick(now_ms))
-        if self.member.holder.ended:
+        self.perform(self.participant.tick(now_ms))
+        if self.participant.holder.ended:
             self.world.start_again(self)
         elif self.page_write is not None:
             self.perform(self.page_write.tick(now_ms))
@@ -135,7 +135,7 @@
             self.take_if_free()
         if self.serves():
             # The target's clock may be as slow as this one.
-            end_ms = self.member.holder.expires_at_ms()
+            end_ms = self.participant.holder.expires_at_ms()
             self.granted_until = max(self.granted_until, end_ms / self.rate)
 
     def refresh(self):
@@ -150,7 +150,7 @@
             if value.key == PAGE:
                 self.see_page(value)
             else:
-                self.perform(self.member.on_record(self.now_ms(), value))
+                self.perform(self.participant.on_record(self.now_ms(), value))
 
     def see_page(self, value):
         if self.page is None or self.page.revision < value.revision:
@@ -158,10 +158,10 @@
             self.entry = records.decode_page(value.data).entries[0]
 
     def take_if_free(self):
-        if self.page is None or not self.member.holder.live(self.now_ms()):
+        if self.page is None or not self.participant.holder.live(self.now_ms()):
             return
         entry = self.entry
-        known = self.member.known.get(entry.owner)
+        known = self.participant.known.get(entry.owner)
         if entry.owner == self.incarnation and entry.epoch in self.released:
             # The move was given up; only another epoch can be served.
             self.write_page(self.incarnation, entry.epoch + 1)
@@ -197,10 +197,10 @@
                 if outcome.current is not None:
                     self.see_page(outcome.current)
             return
-        self.perform(self.member.on_result(self.now_ms(), result))
+        self.perform(self.participant.on_result(self.now_ms(), result))
 
     def on_datagram(self, message, source):
-        for action in self.member.on_datagram(self.now_ms(), message):
+        for action in self.participant.on_datagram(self.now_ms(), message):
             if isinstance(action, actions.Reply):
                 self.world.send(self.address, source, action.message)
             else:
@@ -306,7 +306,9 @@
                 continue
             if self.time < process.granted_until:
                 raise TwoOwnersError(f"{process.incarnation}'s target goes on")
-            if process.alive and process.member.holder.live(process.now_ms()):
+            if process.alive and process.participant.holder.live(
+                process.now_ms()
+            ):
                 raise TwoOwnersError(f"{process.incarnation} lives on")
 
     def has_ended(self, incarnation):
@@ -327,7 +329,7 @@
 
     def witnesses_of(self, process):
         """The processes that witness, then those that do not."""
-        named = process.member.holder.record.witnesses
+        named = process.participant.holder.record.witnesses
         witnesses = [
             p
             for witness in named
--- a/tests/common/ownership_steps.py
+++ b/tests/common/ownership_steps.py
@@ -107,7 +107,7 @@
         fault = ownership.Fault.LATE if late else ownership.Fault.ANSWER_LOST
         owner.faults.append(fault)
         for _ in range(40):
-            if owner.member.holder.state == "changing":
+            if owner.participant.holder.state == "changing":
                 break
             self.world.run(50)
         self.world.heal()
@@ -146,7 +146,7 @@
         for process in self.world.processes:
             for incarnation in dead:
                 if process.alive and not self.world.has_ended(incarnation):
-                    asked = process.member.on_node_ended(
+                    asked = process.participant.on_node_ended(
                         process.now_ms(), incarnation
                     )
                     process.perform(asked)
--- a/tests/cover/test_confirmed_ends.py
+++ b/tests/cover/test_confirmed_ends.py
@@ -16,7 +16,7 @@
 def lost_owner(world):
     """An owner whose target checks no grants, sealed but not confirmed."""
     owner = world.settle()
-    owner.member.holder.set_target("svc", "127.0.0.1:1", "t1", False)
+    owner.participant.holder.set_target("svc", "127.0.0.1:1", "t1", False)
     world.run(500)
     world.kill(owner)
     world.run(3_000)
@@ -41,7 +41,7 @@
     successor = world.restart(owner)
     world.run(2_000)
     assert world.store.states[owner.incarnation] is SEALING
-    successor.member.holder.set_target("svc", address, target, checks)
+    successor.participant.holder.set_target("svc", address, target, checks)
     world.run(2_000)
     assert world.has_ended(owner.incarnation) is has_ended
 
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -170,7 +170,7 @@
 def test_an_owner_that_leaves_is_replaced_without_a_wait():
     world = ownership.World()
     owner = world.settle()
-    owner.member.holder.leave()
+    owner.participant.holder.leave()
     owner.granted_until = 0.0  # Its target has released all.
     assert not owner.serves()
     left_at = world.time
@@ -183,8 +183,8 @@
     world = ownership.World()
     owner = world.settle()
     revision = world.store.revision
-    sent = owner.member.holder.renewals.sequence
-    world.run_until(lambda: owner.member.holder.renewals.sequence > sent)
+    sent = owner.participant.holder.renewals.sequence
+    world.run_until(lambda: owner.participant.holder.renewals.sequence > sent)
     for process in world.processes:
         world.pause(process)
     world.run(5_000)
@@ -210,7 +210,7 @@
 def test_a_node_alone_promises_no_more_than_a_term():
     world = ownership.World(names=1)
     owner = world.settle()
-    left_ms = owner.member.holder.expires_at_ms() - owner.now_ms()
+    left_ms = owner.participant.holder.expires_at_ms() - owner.now_ms()
     assert 0 < left_ms <= timing.Timing().holder_term_ms()
 
 
@@ -230,7 +230,7 @@
     world.cut(first.address, [ownership.STORE])
     world.restart(first)
     world.run(timing.Timing().renewal_interval_ms + ownership.TICK_MS)
-    avoided = owner.member.holder.preferred.avoided_until_ms
+    avoided = owner.participant.holder.preferred.avoided_until_ms
     assert first.incarnation in avoided
 
 
@@ -239,13 +239,13 @@
     owner = world.settle()
     (sealer, *_), _ = world.witnesses_of(owner)
     sealer.refresh = lambda: None  # Its replica falls behind.
-    owner.member.holder.set_target("svc", "127.0.0.1:1", "t1", True)
+    owner.participant.holder.set_target("svc", "127.0.0.1:1", "t1", True)
     world.run(200)
     # Earlier failures of the store must not hold this up.
-    sealer.member.backoff.failures = 10
+    sealer.participant.backoff.failures = 10
     world.kill(owner)
     owner.granted_until = 0.0
-    word = sealer.member.on_node_ended(sealer.now_ms(), owner.incarnation)
+    word = sealer.participant.on_node_ended(sealer.now_ms(), owner.incarnation)
     sealer.perform(word)
     world.run(300)
     assert world.has_ended(owner.incarnation)
@@ -267,7 +267,7 @@
 def test_a_target_that_checks_no_grants_needs_a_confirmed_end(is_early):
     world = ownership.World()
     owner = world.settle()
-    owner.member.holder.set_target("svc", "127.0.0.1:1", "t1", False)
+    owner.participant.holder.set_target("svc", "127.0.0.1:1", "t1", False)
     world.run(500)
     world.kill(owner)
     if not is_early:
@@ -276,7 +276,7 @@
     for target in ("t0", "t1"):
         assert not world.has_ended(owner.incarnation)
         for process in world.processes[1:]:
-            asked = process.member.on_target_ended(
+            asked = process.participant.on_target_ended(
                 process.now_ms(), owner.incarnation, target
             )
             process.perform(asked)
@@ -287,13 +287,13 @@
 def test_a_node_without_witnesses_ends_by_the_operators_word_only():
     world = ownership.World(names=1)
     owner = world.settle()
-    gaps = owner.member.holder.gaps
+    gaps = owner.participant.holder.gaps
     assert gaps == [witness_choice.Gap.TAKEOVER]
     successor = world.restart(owner)
     world.run(10_000)
     assert not world.has_ended(owner.incarnation)
     owner.granted_until = 0.0
-    asked = successor.member.on_node_ended(
+    asked = successor.participant.on_node_ended(
         successor.now_ms(), owner.incarnation
     )
     successor.perform(asked)
@@ -310,7 +310,7 @@
     assert world.has_ended(owner.incarnation)
     world.resume(owner)
     world.run(1_000)
-    assert owner.member.holder.ended
+    assert owner.participant.holder.ended
 
 
 def test_answers_out_of_order_shorten_no_lease():
--- a/tests/cover/test_ownership_rules.py
+++ b/tests/cover/test_ownership_rules.py
@@ -20,8 +20,8 @@
 
 def just_renewed(world, owner):
     """Runs until the owner has sent renewals that are not answered yet."""
-    sent = owner.member.holder.renewals.sequence
-    world.run_until(lambda: owner.member.holder.renewals.sequence > sent)
+    sent = owner.participant.holder.renewals.sequence
+    world.run_until(lambda: owner.participant.holder.renewals.sequence > sent)
 
 
 def change_one_witness(world, owner, fault):
@@ -33,8 +33,8 @@
     (a, b, c), _ = world.witnesses_of(owner)
     world.cut(owner.address, [c.address])
     owner.faults.append(fault)
-    world.run_until(lambda: owner.member.holder.state == "changing")
-    new = {w.incarnation for w in owner.member.holder.writing.witnesses}
+    world.run_until(lambda: owner.participant.holder.state == "changing")
+    new = {w.incarnation for w in owner.participant.holder.writing.witnesses}
     (d,) = [
         p
         for p in world.processes
@@ -135,7 +135,7 @@
     just_renewed(world, owner)
     world.run(ownership.TICK_MS + 10)  # It grants until the renewal's end.
     for process in world.witnesses_of(owner)[0]:
-        process.member.holder.drain()
+        process.participant.holder.drain()
     old = {p.incarnation for p in world.witnesses_of(owner)[0]}
     world.run_until(lambda: not old & world.store.witnesses(owner))
     world.kill(owner)
--- a/tests/cover/test_store_sync.py
+++ b/tests/cover/test_store_sync.py
@@ -5,7 +5,7 @@
 from auburnrock import records
 from auburnrock.engine import actions
 from auburnrock.engine import lease
-from auburnrock.engine import member
+from auburnrock.engine import participant
 from auburnrock.engine import timing
 from auburnrock.platform import base as platform_base
 from auburnrock.shells import store_calls
@@ -87,13 +87,13 @@
     owner = world.settle()
     other = world.processes[1]
     for process in (owner, other):
-        record = process.member.holder.record
+        record = process.participant.holder.record
         key = records.node_key(record.name, record.incarnation)
         value = platform_base.Value(key, data, 1_000)
-        for observer in (owner.member, other.member):
+        for observer in (owner.participant, other.participant):
             observer.on_record(owner.now_ms(), value)
             assert observer.known[record.incarnation].record == record
-    assert owner.member.holder.live(owner.now_ms())
+    assert owner.participant.holder.live(owner.now_ms())
 
 
 @pytest.mark.parametrize("data", NONSENSE)
@@ -136,7 +136,7 @@
     )
     nonsense = platform_base.Value(key, good.data, 1)
     own = assignment.node(1)
-    started = member.Member(own, timing.Timing(), 0, [nonsense, good])
+    started = participant.Participant(own, timing.Timing(), 0, [nonsense, good])
     assert list(started.known) == [2]
     started.on_record(0, platform_base.Value(key, good.data, 3))
     assert list(started.known) == [2]
