--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -91,7 +91,7 @@
         await stream.send_message(self.reply)
 
     async def Status(self, stream: grpclib.server.Stream) -> None:  # noqa: N802
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
     Events = Drain = ConfirmEnd = Status
 
@@ -111,16 +111,16 @@
         return result.Ok(view)
 
     def status(self):
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
     def recent_events(self):
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
     async def drain(self):
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
     async def confirm_end(self, incarnation: int):
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
 
 async def measure(
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -24,10 +24,10 @@
         return targets_base.WorkAnswer(status=200, headers=[], body=b"done")
 
     async def grant(self, grant):
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
     async def cancel(self, request_id):
-        raise NotImplementedError
+        raise AssertionError("nothing here calls this")
 
     async def drain(self):
         return
