Let idempotent requests wait for retry budget that will come

Cause: when more attempts are lost at once than the retry budget holds, the rest were refused at the moment of their loss, although the successes of the same second pay for them well before their deadlines.

Ruled out: a larger budget (amplifies every brown-out); a second queue without a bound (in a total failure nothing would ever be paid).

Change: such a request waits while the budget, at the rate of successes of now, pays for all that wait before its deadline, and is refused at once otherwise. The process test ends when a caller fails.

--- a/src/auburnrock/engine/request.py
+++ b/src/auburnrock/engine/request.py
@@ -5,7 +5,7 @@
 
 * A failure ends the request at once unless the next attempt is known to be
   harmless: either nothing ran, or the request is idempotent and the retry
-  budget allows it.
+  budget allows it, now or well before the deadline.
 * At most MAX_EXECUTIONS attempts of an idempotent request may have run, and
   one of any other.
 * The final failure says "not run" only if no attempt can have run.
@@ -90,15 +90,17 @@
     Attributes:
       budget: the retry budget.
       waiting: requests that now wait for an owner.
+      saving: requests that now wait for retry budget.
       sends: requests sent to nodes so far, for the metrics.
       repeats: those among them that took retry budget.
     """
 
-    __slots__ = ("budget", "repeats", "sends", "waiting")
+    __slots__ = ("budget", "repeats", "saving", "sends", "waiting")
 
     def __init__(self, now_ms: int):
         self.budget = retry.RetryBudget(now_ms)
         self.waiting = 0
+        self.saving = 0
         self.sends = 0
         self.repeats = 0
 
@@ -127,7 +129,7 @@
       avoid: those that refused since the table last advanced.
       node: the node found by the latest guard.
       hedge_at_ms: when the attempt counts as silent; None once judged.
-      resume_at_ms: end of the pause in the state "waiting".
+      resume_at_ms: end of the pause in the states "waiting" and "saving".
       pauses: pauses made, for their doubling.
     """
 
@@ -196,6 +198,8 @@
     ) -> Actions:
         if self.state == "waiting" and row.to != "waiting":
             self.entry.waiting -= 1
+        if self.state == "saving" and row.to != "saving":
+            self.entry.saving -= 1
         self.state = row.to
         return row.step(self, now_ms, event) if row.step else _NO_ACTIONS
 
@@ -297,6 +301,20 @@
         """The retry budget allows one more attempt."""
         return self.entry.budget.allows(now_ms)
 
+    def budget_will_allow(self, now_ms: int) -> bool:
+        """The budget pays for this one too, a pause before its deadline."""
+        left_ms = self.details.deadline_at_ms - now_ms
+        within_ms = max(0, left_ms - LONGEST_PAUSE_MS)
+        expected = self.entry.budget.expected(now_ms, within_ms)
+        return self.entry.saving < min(expected, MAX_WAITING)
+
+    def budget_may_still_allow(self, now_ms: int) -> bool:
+        """The budget still pays for all that wait for it before the end."""
+        within_ms = self.details.deadline_at_ms - now_ms
+        return self.entry.saving <= self.entry.budget.expected(
+            now_ms, within_ms
+        )
+
     def may_run_again(self) -> bool:
         """Whether one more attempt may run."""
         executions = self.unknown + len(self.outstanding)
@@ -353,6 +371,11 @@
         self._spend()
         return self.wait(now_ms, event)
 
+    def save(self, now_ms: int, event: Event) -> Actions:
+        """Waits until successes have paid for one more attempt."""
+        self.entry.saving += 1
+        return self.pause_again(now_ms, event)
+
     def wait_on(self, now_ms: int, event: Event) -> Actions:
         """Leaves a silent attempt alone, until the budget allows another."""
         self.avoid.clear()
@@ -363,7 +386,7 @@
     def reply(self, now_ms: int, event: Event) -> Actions:
         """Gives the caller its answer and drops the other attempt."""
         if event.response.status < 500:
-            self.entry.budget.succeeded()
+            self.entry.budget.succeeded(now_ms)
         return [
             request_events.Reply(event.response),
             *self._cancel_outstanding(),
--- a/src/auburnrock/engine/retry.py
+++ b/src/auburnrock/engine/retry.py
@@ -10,6 +10,8 @@
 FLOOR_MILLITOKENS_PER_S = 1_000
 CAPACITY_MILLITOKENS = 10_000
 RETRY_MILLITOKENS = 1_000
+RATE_SPAN_MS = 1_000
+"""Successes are counted in spans of this length to tell their rate."""
 
 
 class RetryBudget:
@@ -21,16 +23,30 @@
     Attributes:
       millitokens: what is in the bucket; a retry takes 1,000.
       floored_at_ms: time up to which the floor has been paid in.
+      span_began_ms: start of the span in which successes are now counted.
+      span_successes: successes in that span.
+      successes_per_span: successes in the whole span before it.
     """
 
-    __slots__ = ("floored_at_ms", "millitokens")
+    __slots__ = (
+        "floored_at_ms",
+        "millitokens",
+        "span_began_ms",
+        "span_successes",
+        "successes_per_span",
+    )
 
     def __init__(self, now_ms: int):
         self.millitokens = CAPACITY_MILLITOKENS
         self.floored_at_ms = now_ms
+        self.span_began_ms = now_ms
+        self.span_successes = 0
+        self.successes_per_span = 0
 
-    def succeeded(self) -> None:
+    def succeeded(self, now_ms: int) -> None:
         """Notes a request that was answered."""
+        self._begin_span(now_ms)
+        self.span_successes += 1
         self.millitokens = min(
             CAPACITY_MILLITOKENS,
             self.millitokens + DEPOSIT_PER_SUCCESS_MILLITOKENS,
@@ -47,6 +63,24 @@
             )
         return self.millitokens >= RETRY_MILLITOKENS
 
+    def expected(self, now_ms: int, within_ms: int) -> int:
+        """Retries that will be allowed within a time, as successes go now."""
+        self._begin_span(now_ms)
+        successes = max(self.successes_per_span, self.span_successes)
+        deposits = successes * DEPOSIT_PER_SUCCESS_MILLITOKENS // RATE_SPAN_MS
+        paid = within_ms * FLOOR_MILLITOKENS_PER_S // 1_000
+        total = self.millitokens + paid + within_ms * deposits
+        return total // RETRY_MILLITOKENS
+
+    def _begin_span(self, now_ms: int) -> None:
+        elapsed_ms = now_ms - self.span_began_ms
+        if elapsed_ms < RATE_SPAN_MS:
+            return
+        is_recent = elapsed_ms < 2 * RATE_SPAN_MS
+        self.successes_per_span = self.span_successes if is_recent else 0
+        self.span_began_ms = now_ms
+        self.span_successes = 0
+
     def spend(self) -> None:
         """Takes the tokens of one retry; call only if it is allowed."""
         assert self.millitokens >= RETRY_MILLITOKENS
--- a/tests/cover/test_request_rules.py
+++ b/tests/cover/test_request_rules.py
@@ -86,6 +86,36 @@
     return [] if waiting <= request.MAX_WAITING else [f"{waiting} wait"]
 
 
+def lose_more_at_once_than_the_budget_holds(lifecycle_class):
+    """Connections that go silent together, while other requests succeed."""
+    world = rw.World(lifecycle_class, slots=100)
+    lost = []
+    for number in range(300):
+        world.call()
+        if number == 150:
+            lost = [
+                world.call(fates=[rw.LOST_AFTER], timeout_ms=3_000)
+                for _ in range(20)
+            ]
+        world.run_for(10)
+    failed = sum(
+        not isinstance(call.answers[0], request_events.Reply) for call in lost
+    )
+    return [f"{failed} of 20 failed"] if failed else []
+
+
+def lose_every_request(lifecycle_class):
+    world = rw.World(lifecycle_class, slots=100)
+    lost = [world.call(fates=[rw.LOST_AFTER] * 8) for _ in range(100)]
+    held = 0
+    for _ in range(60):
+        world.run_for(5)
+        saving = [call for call in lost if call.lifecycle.state == "saving"]
+        held = max(held, len(saving))
+    # Nothing succeeds: the budget grows by one in a second.
+    return [f"{held} wait for nothing"] if held > 1 else []
+
+
 def refuse_while_moving(lifecycle_class):
     world = rw.World(lifecycle_class)
     world.moving = True
@@ -140,6 +170,20 @@
         return self.details.idempotent
 
 
+class GivesUpWithoutBudget(request.Lifecycle):
+    __slots__ = ()
+
+    def budget_will_allow(self, now_ms):
+        return False
+
+
+class WaitsForAnyBudget(request.Lifecycle):
+    __slots__ = ()
+
+    def budget_will_allow(self, now_ms):
+        return True
+
+
 class NeverHedges(request.Lifecycle):
     __slots__ = ()
 
@@ -190,6 +234,8 @@
         (give_up, HoldsItsFailure),
         (wait_for_an_owner, WaitsWithoutBound),
         (refuse_while_moving, SendsBackAtOnce),
+        (lose_more_at_once_than_the_budget_holds, GivesUpWithoutBudget),
+        (lose_every_request, WaitsForAnyBudget),
     ],
 )
 def test_a_promise_holds_with_its_rule_and_breaks_without(
--- a/tests/cover/test_requests_processes.py
+++ b/tests/cover/test_requests_processes.py
@@ -90,13 +90,15 @@
             await send()
             answered.add(number)
 
-    running = [asyncio.create_task(caller(number)) for number in range(20)]
-    await switched.wait()
-    for host in fleet.hosts:
-        if host.spec.service == service:
-            await fleet.switch(host, silence_connections=True)
-    await switched.wait()
-    await asyncio.gather(*running)
+    # A caller that fails ends the others, which would wait for it for good.
+    async with asyncio.TaskGroup() as running:
+        for number in range(20):
+            running.create_task(caller(number))
+        await switched.wait()
+        for host in fleet.hosts:
+            if host.spec.service == service:
+                await fleet.switch(host, silence_connections=True)
+        await switched.wait()
 
 
 async def test_silent_connections_cost_no_non_idempotent_request(
