Tell peers what changed in a key table, not the whole table

Three readers of the store each told all of 92 peers the whole table (30 KB) at every change; worked out from the sizes, not counted by message.

Ruled out: requests and answers (24 thousand of a few KB, about 50 MB) and pings (about 40 MB), both worked out from their sizes and rates.

Change: readers send what differs from the last version that peers know; a peer with another base reads the store. What is longer than a record of a node (the configuration) comes from one of the three readers to each.

--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -9,6 +9,7 @@
 
 from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import table as table_module
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -219,6 +220,22 @@
     items: list[tuple[str, bytes | None, int]]
 
 
+class TableTold(Message, tag=15):
+    """A change of a key table that a reader of the store has seen.
+
+    Attributes:
+      service: whose keys.
+      base: the store's revision of the version that the change builds on.
+      revision: the store's revision of the later version.
+      change: from the one to the other.
+    """
+
+    service: str
+    base: int
+    revision: int
+    change: table_module.TableChange
+
+
 Any = (
     Hello
     | Ping
@@ -235,6 +252,7 @@
     | Bye
     | Snapshot
     | Told
+    | TableTold
 )
 
 Outcome = Answered | Refused | Lost
--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -78,6 +78,57 @@
         return {life.member for life in self.lives}
 
 
+class TableChange(msgspec.Struct, frozen=True, array_like=True):
+    """What turns one version of a table into a later one.
+
+    Attributes:
+      version: of the later one.
+      lives: of the later one.
+      stripes: index of each stripe that differs, and what it becomes.
+    """
+
+    version: int
+    lives: tuple[model.Life, ...]
+    stripes: tuple[tuple[int, Stripe], ...]
+
+
+def difference(before: KeyTable, after: KeyTable) -> TableChange | None:
+    """The change between two versions; None if one doesn't tell of it.
+
+    Few stripes change at a time, so it is much shorter than the table.
+    """
+    if len(before.stripes) != len(after.stripes):
+        return None
+    places = _places(before, after.lives)
+    stripes = tuple(
+        (index, stripe)
+        for index, (stripe, known) in enumerate(
+            zip(after.stripes, before.stripes, strict=True)
+        )
+        if stripe != Stripe(places[known.owner], known.fence, known.handover)
+    )
+    return TableChange(after.version, after.lives, stripes)
+
+
+def applied(before: KeyTable, change: TableChange) -> KeyTable:
+    """The later version that a change of the earlier one tells of."""
+    places = _places(before, change.lives)
+    stripes = [
+        Stripe(places[known.owner], known.fence, known.handover)
+        for known in before.stripes
+    ]
+    for index, stripe in change.stripes:
+        stripes[index] = stripe
+    assert all(stripe.owner >= 0 for stripe in stripes)
+    return KeyTable(change.version, change.lives, tuple(stripes))
+
+
+def _places(before: KeyTable, lives: tuple[model.Life, ...]) -> list[int]:
+    """Place of each earlier life among later ones; -1 where it is missing."""
+    known = {life: place for place, life in enumerate(lives)}
+    return [known.get(life, -1) for life in before.lives]
+
+
 def first_table(owners: list[model.Life]) -> KeyTable:
     """The table that deals all keys for the first time.
 
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import secrets
 
+import xxhash
+
 from auburnrock import errors
 from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import coordination
@@ -35,6 +37,9 @@
 TOLD_WITHIN_S = 0.2
 """What a reader tells comes within this of what other peers say."""
 
+TOLD_BY_ONE_BYTES = 1_024
+"""Records of nodes are shorter than this, configurations longer."""
+
 NEWS_WAIT_S = 0.4
 """A heartbeat without news is answered after this: it must be acknowledged
 within a second, and what comes meanwhile reaches the target at once."""
@@ -177,6 +182,7 @@
         self.hub.items = self.items
         self.hub.uninformed = self.uninformed
         self.hub.on_told = self.on_told
+        self.hub.on_table_told = self.on_table_told
         self.hub.on_snapshot = self.on_snapshot
         self.hub.on_silence = self.ownership.on_silence
         self.hub.on_seal = self.ownership.on_seal
@@ -263,25 +269,64 @@
             self.reads(),
         )
 
-    def is_reader(self) -> bool:
-        """Whether this node is one of those that watch the store."""
-        readers = 0
-        for name in sorted(self.hub.alive()):
-            if name > self.settings.ip:
-                break
+    def readers(self) -> list[str]:
+        """Nodes that watch the store, as far as this one knows."""
+        names = [self.settings.ip]
+        for name in self.hub.alive():
             status = self.hub.links[name].status
             if status is not None and status.reads and not status.leaving:
-                readers += 1
-        return readers < sync.READERS
+                names.append(name)
+        return sorted(names)[: sync.READERS]
+
+    def is_reader(self) -> bool:
+        """Whether this node is one of those that watch the store."""
+        return self.settings.ip in self.readers()
 
     def reads(self) -> bool:
         """Whether the store answers this node."""
         return not (self.own_sync.is_lost or self.configuration_sync.is_lost)
 
     def tell(self, items: list[coordination.Item]) -> None:
-        """Tells peers what has changed in the store."""
-        rows = [(item.key, item.value, item.revision) for item in items]
-        self.hub.tell(peering.Told(rows))
+        """Tells peers what has changed in the store.
+
+        Every reader tells all peers what is short. What is long comes from
+        one reader to each; a peer that misses it notices by the versions that
+        others name, and reads the store.
+        """
+        short = []
+        long = []
+        for item in items:
+            told = self.ownership.table_told(item)
+            if told is not None:
+                self.hub.tell(told)
+                continue
+            row = (item.key, item.value, item.revision)
+            is_long = len(item.value or b"") > TOLD_BY_ONE_BYTES
+            (long if is_long else short).append(row)
+        if short:
+            self.hub.tell(peering.Told(short))
+        if long:
+            self.hub.tell(peering.Told(long), self.told_by_this_reader())
+
+    def told_by_this_reader(self) -> list[str]:
+        """Peers to which this reader, and no other, tells what is long."""
+        readers = self.readers()
+        if self.settings.ip not in readers:
+            return list(self.hub.links)
+        place = readers.index(self.settings.ip)
+        return [
+            name
+            for name in self.hub.links
+            if xxhash.xxh32_intdigest(name.encode()) % len(readers) == place
+        ]
+
+    def on_table_told(self, told: peering.TableTold) -> None:
+        """Takes a change of a key table from a reader."""
+        item = self.ownership.told_table(told)
+        if item is not None:
+            self.own_sync.take_told([item])
+        elif told.change.version > self.table_version(told.service):
+            self.later(self.ask_for_table, told.service, told.change.version)
 
     def on_told(self, told: peering.Told) -> None:
         """Takes changes of the store from a reader."""
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -58,6 +58,10 @@
 """Nodes that one change of the table gives keys to: a change has room for 32
 entries, and each of them is one."""
 
+BASES_KEPT = 4
+"""Earlier versions of a table kept, to tell peers of the change only; a reader
+may have written the last few itself before its watch shows them."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _MEMBER = msgspec.msgpack.Decoder(model.Member)
 _TABLE = msgspec.msgpack.Decoder(table_module.KeyTable)
@@ -69,12 +73,14 @@
     Attributes:
       members: record and revision by name.
       tables: table and revision by service.
+      bases: the last few earlier tables and revisions by service.
       raw: every item as read, by key.
     """
 
     def __init__(self):
         self.members: dict[str, tuple[model.Member, int]] = {}
         self.tables: dict[str, tuple[table_module.KeyTable, int]] = {}
+        self.bases: dict[str, list[tuple[table_module.KeyTable, int]]] = {}
         self.raw: dict[str, coordination.Item] = {}
 
     def records(self) -> dict[str, model.Member]:
@@ -241,6 +247,10 @@
         known = self.view.tables.get(service)
         if known is not None and known[1] >= revision:
             return
+        if known is not None:
+            bases = self.view.bases.setdefault(service, [])
+            bases.append(known)
+            del bases[:-BASES_KEPT]
         self.view.tables[service] = (table, revision)
         self.on_table(service, table)
         if service == self.settings.service:
@@ -254,6 +264,38 @@
             )
             self.news.set()
 
+    def table_told(self, item: coordination.Item) -> peering.TableTold | None:
+        """A table's change for peers; None if they need the whole item."""
+        kind, _, service = item.key.removeprefix(self.prefix).partition("/")
+        if kind != "k" or item.value is None:
+            return None
+        known = [*self.view.bases.get(service, ())]
+        if service in self.view.tables:
+            known.append(self.view.tables[service])
+        earlier = [base for base in known if base[1] < item.revision]
+        if not earlier:
+            return None
+        before, base = earlier[-1]
+        try:
+            after = _TABLE.decode(item.value)
+        except msgspec.DecodeError as error:
+            self.log.write("table_unreadable", key=item.key, error=str(error))
+            return None
+        change = table_module.difference(before, after)
+        if change is None:
+            return None
+        return peering.TableTold(service, base, item.revision, change)
+
+    def told_table(self, told: peering.TableTold) -> coordination.Item | None:
+        """The item that a change tells of; None if its base isn't known."""
+        known = self.view.tables.get(told.service)
+        if known is None or known[1] != told.base:
+            return None
+        table = table_module.applied(known[0], told.change)
+        return coordination.Item(
+            self.table_key(told.service), _ENCODER.encode(table), told.revision
+        )
+
     async def tick_always(self) -> None:
         """Renews, watches over others and plans moves."""
         while True:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import msgspec
 
@@ -328,6 +328,7 @@
       uninformed: whether the store has not been read yet.
       on_snapshot: takes a snapshot.
       on_told: takes changes of the store from a reader.
+      on_table_told: takes a change of a key table from a reader.
       on_silence: says how long a node has been silent.
       on_seal: seals; returns what is left, or None if it cannot tell.
     """
@@ -357,6 +358,7 @@
         self.items: Callable[[], list[tuple[str, bytes, int]]]
         self.uninformed: Callable[[], bool]
         self.on_told: Callable[[peering.Told], None]
+        self.on_table_told: Callable[[peering.TableTold], None]
         self.on_snapshot: Callable[[peering.Snapshot], None]
         self.on_silence: Callable[[str], float]
         self.on_seal: Callable[[str, int], float | None]
@@ -395,9 +397,18 @@
             if name != self.name and name not in self.links:
                 self.links[name] = Link(self, member)
 
-    def tell(self, message: peering.Told) -> None:
-        """Tells all other nodes what has changed in the store."""
-        for link in self.links.values():
+    def tell(
+        self, message: peering.Message, names: Collection[str] | None = None
+    ) -> None:
+        """Tells other nodes what has changed in the store.
+
+        Args:
+          message: the change.
+          names: whom to tell; None tells all.
+        """
+        for name, link in self.links.items():
+            if names is not None and name not in names:
+                continue
             if link.connection is not None and link.greeted:
                 link.connection.send(message)
 
@@ -433,6 +444,8 @@
             self.on_snapshot(message)
         elif isinstance(message, peering.Told):
             self.on_told(message)
+        elif isinstance(message, peering.TableTold):
+            self.on_table_told(message)
         elif isinstance(message, peering.Run):
             self.on_run(connection, origin, message)
         elif isinstance(message, peering.Cancel):
--- a/tests/cover/test_mesh_plan.py
+++ b/tests/cover/test_mesh_plan.py
@@ -1,5 +1,6 @@
 import hypothesis
 import hypothesis.strategies as st
+import msgspec
 
 from auburnrock.engine.mesh import holder as holder_module
 from auburnrock.engine.mesh import model
@@ -46,6 +47,36 @@
     assert keys == model.KEYS
 
 
+@hypothesis.given(
+    st.lists(
+        st.dictionaries(st.sampled_from("abcdef"), st.integers(1, 30)),
+        min_size=1,
+        max_size=4,
+    )
+)
+def test_a_change_turns_the_earlier_table_into_the_later(fleets):
+    table = mesh.table("a", "b", "c")
+    for weights in fleets:
+        after = moved(table, {mesh.life(m): w for m, w in weights.items()})
+        change = table_module.difference(table, after)
+        assert table_module.applied(table, change) == after
+        table = after
+
+
+def test_the_change_of_a_few_stripes_is_a_small_part_of_the_table():
+    table = mesh.table(*"abcdefghijklmnopqrstuvwx")
+    moves = {index: (mesh.life("y"), "feed") for index in range(0, 2_800, 140)}
+    after = table_module.changed(table, moves)
+    change = table_module.difference(table, after)
+    encode = msgspec.msgpack.encode
+    assert len(encode(change)) < len(encode(after)) / 15
+
+
+def test_tables_of_unlike_stripes_have_no_change_between_them():
+    before = mesh.table("a", "b")
+    assert table_module.difference(before, mesh.table("a", "b", "c")) is None
+
+
 def test_a_joined_target_gets_its_share_and_nothing_else_moves():
     table = mesh.table("a", "b", "c", "d")
     after = moved(table, mesh.lives("a", "b", "c", "d", "e"))
--- /dev/null
+++ b/tests/cover/test_mesh_telling.py
@@ -0,0 +1,80 @@
+"""What readers of the store tell the other nodes."""
+
+import pytest_asyncio
+
+from auburnrock.engine.mesh import peering
+from tests.common import mesh_fleet
+
+
+@pytest_asyncio.fixture
+async def fleet():
+    made = mesh_fleet.Fleet()
+    await made.start("portal", "portal", "portal", "portal", "booker")
+    yield made
+    await made.stop()
+
+
+def versions(fleet):
+    return {host.node.table_version("portal") for host in fleet.hosts}
+
+
+async def test_a_moved_key_is_told_without_the_whole_table(fleet):
+    last = fleet.hosts[4].node
+    assert not last.is_reader()
+    told = []
+    changes = []
+    take, take_change = last.hub.on_told, last.hub.on_table_told
+    last.hub.on_told = lambda message: (told.append(message), take(message))
+    last.hub.on_table_told = lambda message: (
+        changes.append(message),
+        take_change(message),
+    )
+    before = last.table_version("portal")
+    calls = last.store.calls
+    fleet.hosts[3].target.state = "draining"
+    await fleet.until(lambda: min(versions(fleet)) > before)
+    await fleet.until(lambda: len(versions(fleet)) == 1)
+    assert changes
+    assert not [row for each in told for row in each.items if "/k/" in row[0]]
+    # Those of its own glances only.
+    assert last.store.calls - calls <= 4
+
+
+async def test_a_node_that_missed_a_change_reads_the_store(fleet):
+    last = fleet.hosts[4].node
+    take = last.hub.on_table_told
+    missed = []
+
+    def miss_first(message: peering.TableTold) -> None:
+        first = missed[0].revision if missed else message.revision
+        if message.revision == first:
+            missed.append(message)
+        else:
+            take(message)
+
+    last.hub.on_table_told = miss_first
+    before = last.table_version("portal")
+    fleet.hosts[3].target.state = "draining"
+    await fleet.until(lambda: min(versions(fleet)) > before)
+    assert missed
+
+
+async def test_one_reader_tells_each_node_what_is_long(fleet):
+    rows = []
+    for host in fleet.hosts:
+        take = host.node.hub.on_told
+
+        def note(message, take=take, name=host.ip):
+            rows.extend((name, row[0]) for row in message.items)
+            take(message)
+
+        host.node.hub.on_told = note
+    hosts = [f"{number}.example" for number in range(100)]
+    listeners = [{"host": host, "rule_set": []} for host in hosts]
+    known = mesh_fleet.CONFIGURATION["listeners"]
+    fleet.configure(version=9, listeners=known + listeners)
+    await fleet.until(
+        lambda: {h.node.configuration_version() for h in fleet.hosts} == {9}
+    )
+    told = [name for name, key in rows if key == "op/config"]
+    assert len(told) == len(set(told)) <= len(fleet.hosts)
