Find strangers and lost leases at once; list the store less often

The listing was the only way to learn of a node that no reader told of, or that this node's own record was taken while readers could not tell it.

Change: a node that connects without a known record, and a lease that is not live, make a node read the store at once; the listing comes every 20 s. A failure of this program in a reader's, the ticks' or the writer's task is logged and the task goes on; before, the task ended and nobody noticed.

--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -40,6 +40,10 @@
 TOLD_BY_ONE_BYTES = 1_024
 """Records of nodes are shorter than this, configurations longer."""
 
+MEMBERS_EVERY_MS = 1_000.0
+"""Between two readings of the store for nodes that connect without a known
+record; many start together."""
+
 NEWS_WAIT_S = 0.4
 """A heartbeat without news is answered after this: it must be acknowledged
 within a second, and what comes meanwhile reaches the target at once."""
@@ -165,6 +169,7 @@
         self.scrapes = self.server(self.answer_scrape)
         self.configuration_item: coordination.Item | None = None
         self.asked_for: dict[str, int] = {}
+        self.asked_for_members_ms = 0.0
         self.tasks: list[asyncio.Task] = []
         self._connect_parts()
 
@@ -183,12 +188,14 @@
         self.hub.uninformed = self.uninformed
         self.hub.on_told = self.on_told
         self.hub.on_table_told = self.on_table_told
+        self.hub.on_stranger = self.on_stranger
         self.hub.on_snapshot = self.on_snapshot
         self.hub.on_silence = self.ownership.on_silence
         self.hub.on_seal = self.ownership.on_seal
         self.ownership.on_members = self.dispatcher.take_members
         self.ownership.on_table = self.on_table
         self.ownership.weight_of_self = self.weight
+        self.ownership.on_lease_in_doubt = self.own_sync.list_again
         self.dispatcher.reachable = self.reachable
         self.executor.on_crash = self.ownership.news.set
 
@@ -389,6 +396,20 @@
         if status.table > self.table_version(status.service):
             self.later(self.ask_for_table, status.service, status.table)
 
+    def on_stranger(self, name: str) -> None:
+        """Reads the store if no reader soon tells of a node's record."""
+        self.later(self.ask_for_member, name)
+
+    def ask_for_member(self, name: str) -> None:
+        """Reads the store if a connected node's record is not known."""
+        now_ms = self.now_ms()
+        if name in self.hub.links or self.uninformed():
+            return
+        if now_ms - self.asked_for_members_ms >= MEMBERS_EVERY_MS:
+            self.asked_for_members_ms = now_ms
+            self.log.write("peer_without_record", peer=name)
+            self.own_sync.list_again()
+
     def later(self, check: Callable[..., None], *values: object) -> None:
         """Checks something once what a reader told has had time to come."""
         loop = asyncio.get_running_loop()
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -58,6 +58,9 @@
 """Nodes that one change of the table gives keys to: a change has room for 32
 entries, and each of them is one."""
 
+DOUBT_EVERY_MS = 1_500.0
+"""Between two readings of the store while this node's lease is not live."""
+
 BASES_KEPT = 4
 """Earlier versions of a table kept, to tell peers of the change only; a reader
 may have written the last few itself before its watch shows them."""
@@ -142,6 +145,8 @@
         self.on_members: Callable[[dict[str, model.Member]], None]
         self.on_table: Callable[[str, table_module.KeyTable], None]
         self.weight_of_self: Callable[[], float]
+        self.on_lease_in_doubt: Callable[[], None]
+        self.doubted_ms = self.started_ms + SETTLE_MS
         self.tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -299,7 +304,11 @@
     async def tick_always(self) -> None:
         """Renews, watches over others and plans moves."""
         while True:
-            self.tick()
+            try:
+                self.tick()
+            except Exception as error:
+                # Without its ticks this node would renew nobody.
+                self.log.write("fault", where="tick", error=repr(error))
             await asyncio.sleep(TICK_S)
 
     def tick(self) -> None:
@@ -322,10 +331,18 @@
                 witnesses=self.lease.witnesses,
             )
             self.news.set()
+        if self.keyed and self.revision and not live:
+            self._doubt(now_ms)
         if self.keyed:
             self._plan(now_ms)
         self._watch_over_others(now_ms)
 
+    def _doubt(self, now_ms: float) -> None:
+        """Reads the store: another node may have sealed this one's record."""
+        if now_ms - self.doubted_ms >= DOUBT_EVERY_MS:
+            self.doubted_ms = now_ms
+            self.on_lease_in_doubt()
+
     def term_for(self, name: str) -> int:
         """Term to renew at a peer; 0 if it is no witness."""
         if any(name in group for group in self.lease.witnesses):
@@ -424,6 +441,9 @@
             except coordination.StoreError as error:
                 self.log.write("write_failed", reason=str(error))
                 self.next_write_ms = self.now_ms() + WRITE_PAUSE_MS
+            except Exception as error:
+                self.log.write("fault", where="write", error=repr(error))
+                self.next_write_ms = self.now_ms() + WRITE_PAUSE_MS
             await asyncio.sleep(TICK_S)
 
     async def _write(self) -> None:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -329,6 +329,7 @@
       on_snapshot: takes a snapshot.
       on_told: takes changes of the store from a reader.
       on_table_told: takes a change of a key table from a reader.
+      on_stranger: a node whose record isn't known here has connected.
       on_silence: says how long a node has been silent.
       on_seal: seals; returns what is left, or None if it cannot tell.
     """
@@ -360,6 +361,7 @@
         self.on_told: Callable[[peering.Told], None]
         self.on_table_told: Callable[[peering.TableTold], None]
         self.on_snapshot: Callable[[peering.Snapshot], None]
+        self.on_stranger: Callable[[str], None]
         self.on_silence: Callable[[str], float]
         self.on_seal: Callable[[str, int], float | None]
         self.listener: asyncio.Server | None = None
@@ -432,6 +434,8 @@
         if isinstance(message, peering.Hello):
             self.inbound[connection] = (message.name, message.start)
             connection.send(self.hello())
+            if message.name not in self.links:
+                self.on_stranger(message.name)
             return
         origin = self.inbound.get(connection)
         if origin is None:
--- a/src/auburnrock/shells/mesh/sync.py
+++ b/src/auburnrock/shells/mesh/sync.py
@@ -22,9 +22,13 @@
 START_PAUSE_S = 1.0
 """After the first listing, until it is known who the readers are."""
 
-GLANCE_S = 5.0
-"""Between listings of a node that is no reader: what a reader told may have
-been lost with its connection."""
+GLANCE_S = 20.0
+"""Between listings of a node that is no reader. Peers name the versions that
+they know, and a node that misses another's record learns of it from that
+node, so a listing finds only removed records."""
+
+FAULT_PAUSE_S = 1.0
+"""After a failure of this program itself."""
 
 GLANCE_SLICE_S = 0.2
 """How soon a node notices that it has become a reader."""
@@ -71,6 +75,7 @@
         self.fresh_ms = 0.0
         self.is_lost = True
         self.must_list = True
+        self.listing = False
         self.backoff = backoff.Backoff(RETRY_MS, prefix)
         self.task: asyncio.Task | None = None
         self.waiting: asyncio.Task | None = None
@@ -87,7 +92,7 @@
     def list_again(self) -> None:
         """Reads all items now: a peer knows of a later change."""
         self.must_list = True
-        if self.waiting is not None:
+        if self.waiting is not None and not self.listing:
             self.waiting.cancel()
 
     async def follow(self) -> None:
@@ -108,6 +113,11 @@
                     raise
                 # list_again() has ended the watch.
                 continue
+            except Exception as error:
+                # Without this task the node would never hear of a change.
+                self.log.write("fault", where="sync", error=repr(error))
+                self.must_list = True
+                await asyncio.sleep(FAULT_PAUSE_S)
             else:
                 self.regain()
                 await asyncio.sleep(self.pause_s)
@@ -142,11 +152,14 @@
     async def list_all(self) -> None:
         """Reads all items."""
         self.must_list = False
+        self.listing = True
         try:
             listing = await self.store.list_all(self.prefix)
         except BaseException:
             self.must_list = True
             raise
+        finally:
+            self.listing = False
         self.revision = max(self.revision, listing.revision)
         self.take_listing(listing)
 
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -78,3 +78,30 @@
     )
     told = [name for name, key in rows if key == "op/config"]
     assert len(told) == len(set(told)) <= len(fleet.hosts)
+
+
+async def test_a_node_that_nobody_told_of_is_found_by_its_connection(fleet):
+    last = fleet.hosts[4].node
+    last.own_sync.take_told = lambda items: None
+    joined = mesh_fleet.Host(fleet, 6, "booker")
+    fleet.hosts.append(joined)
+    await joined.start_node()
+    await joined.start_target()
+    await fleet.until(lambda: joined.ip in last.hub.links, 3.0)
+
+
+async def test_a_node_whose_lease_is_lost_reads_its_record(fleet):
+    """Readers may be unable to tell it that others have taken its keys."""
+    last = fleet.hosts[3].node
+    last.own_sync.stop()
+    last.own_sync.take_told = lambda items: None
+    last.own_sync.is_reader = lambda: False
+    last.own_sync.start()
+    revision = last.ownership.revision
+    fleet.store.apply([], [f"auburnrock/m/{last.settings.ip}"])
+    for host in fleet.hosts[:3]:
+        host.node.ownership.witness.on_seal(
+            host.node.now_ms(), last.settings.ip, revision
+        )
+    await fleet.until(lambda: last.ownership.revision != revision, 8.0)
+    await fleet.until(lambda: last.ownership.revision > revision, 3.0)
