Send in pings what changes, and in table changes no known owners

Cause: each of 4,278 pairs of nodes exchanged two whole statuses of about 100 bytes per ping, most of it the same each time, and each change of a table carried the list of all owners, 1.1 KB at 33 targets (sizes worked out from the messages).

Change: a ping carries the target's load, and the rest of the status only when it differs from what was last said on the connection. A change of a table names owners only if they changed. Waits are sent as whole numbers.

--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -19,12 +19,11 @@
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True):
-    """What a node says of itself with each ping and pong.
+    """What a node says of itself on each connection whenever it changes.
 
     Attributes:
       life: the target beside it; None without one.
       service: service of the target.
-      report: the target's load.
       configuration: version in force there; 0 before it knows one.
       table: version of its service's key table; 0 where there is none.
       leaving: whether the node is about to stop.
@@ -33,7 +32,6 @@
 
     life: model.Life | None
     service: str
-    report: choice.Report
     configuration: int
     table: int
     leaving: bool
@@ -60,13 +58,15 @@
     Attributes:
       sent_ms: the sender's clock, returned by the pong.
       term: term of the lease to renew; 0 asks for none.
-      status: the sender.
+      report: load of the sender's target.
+      status: the sender; None if it is as it was last on this connection.
       suspects: fingerprints that may crash targets, with their counts.
     """
 
     sent_ms: float
     term: int
-    status: Status
+    report: choice.Report
+    status: Status | None
     suspects: list[tuple[str, int]]
 
 
@@ -76,12 +76,14 @@
     Attributes:
       sent_ms: from the ping.
       term: the renewed term; 0 if none was renewed.
-      status: the sender.
+      report: load of the sender's target.
+      status: the sender; None if it is as it was last on this connection.
     """
 
     sent_ms: float
     term: int
-    status: Status
+    report: choice.Report
+    status: Status | None
 
 
 class Run(Message, tag=3):
@@ -208,10 +210,12 @@
     Attributes:
       items: key, value and revision of items of the store.
       you: what the receiver's former process said of itself last.
+      your_report: load of the receiver's target, as it said last.
     """
 
     items: list[tuple[str, bytes, int]]
     you: Status | None
+    your_report: choice.Report
 
 
 class Told(Message, tag=14):
--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -83,7 +83,7 @@
 
     Attributes:
       version: of the later one.
-      lives: of the later one.
+      lives: of the later one; empty if they are the same.
       stripes: index of each stripe that differs, and what it becomes.
     """
 
@@ -107,12 +107,14 @@
         )
         if stripe != Stripe(places[known.owner], known.fence, known.handover)
     )
-    return TableChange(after.version, after.lives, stripes)
+    lives = () if after.lives == before.lives else after.lives
+    return TableChange(after.version, lives, stripes)
 
 
 def applied(before: KeyTable, change: TableChange) -> KeyTable:
     """The later version that a change of the earlier one tells of."""
-    places = _places(before, change.lives)
+    lives = change.lives or before.lives
+    places = _places(before, lives)
     stripes = [
         Stripe(places[known.owner], known.fence, known.handover)
         for known in before.stripes
@@ -120,7 +122,7 @@
     for index, stripe in change.stripes:
         stripes[index] = stripe
     assert all(stripe.owner >= 0 for stripe in stripes)
-    return KeyTable(change.version, change.lives, tuple(stripes))
+    return KeyTable(change.version, lives, tuple(stripes))
 
 
 def _places(before: KeyTable, lives: tuple[model.Life, ...]) -> list[int]:
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -189,10 +189,11 @@
             self.room.slots,
             len(self.room.running),
             len(self.room.waiting_now),
-            self.room.wait_ms(),
+            # Whole numbers take a few bytes, and a peer gets many of these.
+            round(self.room.wait_ms()),
             self.pace.mean,
             self.drain_since_ms is not None,
-            max(0.0, self.cold_until_ms - now_ms),
+            round(max(0.0, self.cold_until_ms - now_ms)),
             self.pace.weight(self.room.slots),
         )
 
--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -21,7 +21,11 @@
 
 
 class FrameConnection(asyncio.Protocol):
-    """One end of a connection between nodes."""
+    """One end of a connection between nodes.
+
+    Attributes:
+      told: what this end last said of its node.
+    """
 
     def __init__(
         self,
@@ -33,6 +37,7 @@
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.closed = False
+        self.told: peering.Status | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the open connection."""
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -180,6 +180,7 @@
     def _connect_parts(self) -> None:
         self.hub.execute = self.executor.run
         self.hub.status = self.status
+        self.hub.report = self.executor.report
         self.hub.suspects = self.suspects_to_tell
         self.hub.term_for = self.ownership.term_for
         self.hub.on_pong = self.on_pong
@@ -269,7 +270,6 @@
         return peering.Status(
             self.holder.life,
             self.settings.service,
-            self.executor.report(),
             self.configuration_version(),
             table.version if table else 0,
             self.stopping,
@@ -366,9 +366,10 @@
                 [item for item in items if item.key.startswith(prefix)]
             )
         you = snapshot.you
-        if you is None or you.life is None or you.report.draining:
+        report = snapshot.your_report
+        if you is None or you.life is None or report.draining:
             return
-        self.executor.resume_target(you.life, you.report.slots)
+        self.executor.resume_target(you.life, report.slots)
 
     def suspects_to_tell(self) -> list[tuple[str, int]]:
         """Suspects for peers, the latest last."""
@@ -378,19 +379,23 @@
     def on_pong(self, link: peers.Link, pong: peering.Pong) -> None:
         """Takes a peer's status and renewal."""
         self.ownership.on_pong(link.member.name, pong)
-        self.take_status(link.member.name, pong.status)
+        self.take_report(link.member.name, pong.report, pong.status)
 
     def on_ping(self, name: str, ping: peering.Ping) -> int:
         """Takes a peer's status and renews its lease."""
         now_ms = self.now_ms()
         for mark, count in ping.suspects:
             self.suspects.on_told(now_ms, mark, count)
-        self.take_status(name, ping.status)
+        self.take_report(name, ping.report, ping.status)
         return self.ownership.on_ping(name, ping)
 
-    def take_status(self, name: str, status: peering.Status) -> None:
-        """Takes what a peer says of itself, and what it knows first."""
-        self.dispatcher.take_report(name, status.report)
+    def take_report(
+        self, name: str, report: choice.Report, status: peering.Status | None
+    ) -> None:
+        """Takes a peer's load, and what it knows if that has changed."""
+        self.dispatcher.take_report(name, report)
+        if status is None:
+            return
         if status.configuration > self.configuration_version():
             self.later(self.ask_for_configuration, status.configuration)
         if status.table > self.table_version(status.service):
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -387,10 +387,10 @@
             status = link.status
             if status is None or status.service != self.settings.service:
                 continue
-            if status.life is None or status.report.draining:
+            if status.life is None or link.report.draining:
                 continue
-            group = cold if status.report.cold_ms > 0 else weights
-            group[status.life] = status.report.weight
+            group = cold if link.report.cold_ms > 0 else weights
+            group[status.life] = link.report.weight
         known = self.view.tables.get(self.settings.service)
         if known is None or not weights:
             return weights | cold
@@ -941,18 +941,16 @@
     ) -> dict[int, tuple[model.Life, str]]:
         """New owners of a lost node's keys."""
         weights = {}
-        statuses = {
-            name: link.status
-            for name, link in self.hub.links.items()
-            if link.alive() and link.status is not None
-        }
-        for name, status in statuses.items():
+        for name, link in self.hub.links.items():
+            status = link.status
+            if status is None or not link.alive():
+                continue
             if name == member.name or name not in self.view.members:
                 continue
             if status.service != member.service or status.life is None:
                 continue
-            if not status.report.draining:
-                weights[status.life] = status.report.weight
+            if not link.report.draining:
+                weights[status.life] = link.report.weight
         own = self.holder.life
         is_own_service = member.service == self.settings.service
         if is_own_service and own is not None and not self.holder.draining:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -60,6 +60,7 @@
       connection: the open connection; None without one.
       start: the other process's start as it said last.
       status: what it said of itself last.
+      report: load of its target, as it said last.
       heard_ms: when anything came last.
       waiting: requests without an outcome, with the time of sending.
       refused: whether nobody listened at the last attempt.
@@ -73,6 +74,7 @@
         self.greeted = False
         self.start = ""
         self.status: peering.Status | None = None
+        self.report = choice.NO_TARGET
         self.heard_ms = 0.0
         self.opened_ms = 0.0
         self.answered_ms = 0.0
@@ -141,14 +143,15 @@
         connection.send(self.hub.hello())
 
     def ping(self) -> None:
-        """Sends a ping with this node's status."""
+        """Sends a ping with this node's load."""
         now_ms = self.hub.now_ms()
         if self.connection is not None:
             self.connection.send(
                 peering.Ping(
                     now_ms,
                     self.hub.term_for(self.member.name),
-                    self.hub.status(),
+                    self.hub.report(),
+                    self.hub.news_for(self.connection),
                     self.hub.suspects(),
                 )
             )
@@ -172,7 +175,8 @@
             self.on_hello(message)
         elif isinstance(message, peering.Pong):
             self.answered_ms = self.heard_ms
-            self.status = message.status
+            self.status = message.status or self.status
+            self.report = message.report
             self.hub.on_pong(self, message)
         elif isinstance(message, peering.Outcome):
             entry = self.waiting.pop(message.number, None)
@@ -196,7 +200,9 @@
         self.greeted = True
         if hello.uninformed:
             items = self.hub.items()
-            self.connection.send(peering.Snapshot(items, self.status))
+            self.connection.send(
+                peering.Snapshot(items, self.status, self.report)
+            )
         now_ms = self.hub.now_ms()
         for run, _, sent_ms in self.waiting.values():
             gone_ms = now_ms - sent_ms
@@ -320,6 +326,7 @@
       offsets: least difference of clocks seen to each other process.
       execute: runs a request at the target.
       status: this node's status for pings.
+      report: load of this node's target.
       suspects: counts to tell peers.
       term_for: term to renew at a witness; 0 for other nodes.
       on_pong: takes a pong.
@@ -352,6 +359,7 @@
         self.offsets: dict[tuple[str, str], float] = {}
         self.execute: Callable[[peering.Run], Awaitable[peering.Outcome]]
         self.status: Callable[[], peering.Status]
+        self.report: Callable[[], choice.Report]
         self.suspects: Callable[[], list[tuple[str, int]]]
         self.term_for: Callable[[str], int]
         self.on_pong: Callable[[Link, peering.Pong], None]
@@ -380,6 +388,16 @@
         """The first message on a connection."""
         return peering.Hello(self.name, self.start, self.uninformed())
 
+    def news_for(
+        self, connection: frames.FrameConnection
+    ) -> peering.Status | None:
+        """This node's status, if a connection's other end has an older one."""
+        status = self.status()
+        if status == connection.told:
+            return None
+        connection.told = status
+        return status
+
     def ping_ms(self, name: str) -> float:
         """Time between pings to a node."""
         if len(self.links) <= SMALL_FLEET or self.term_for(name):
@@ -443,7 +461,14 @@
         elif isinstance(message, peering.Ping):
             self.note_offset(origin, message.sent_ms)
             term = self.on_ping(origin[0], message)
-            connection.send(peering.Pong(message.sent_ms, term, self.status()))
+            connection.send(
+                peering.Pong(
+                    message.sent_ms,
+                    term,
+                    self.report(),
+                    self.news_for(connection),
+                )
+            )
         elif isinstance(message, peering.Snapshot):
             self.on_snapshot(message)
         elif isinstance(message, peering.Told):
