Split the ownership's shell into record, moves, takeover and view

No change of behaviour: the methods moved with their constants; what they share is in parts.py, what is known of the store's items in view.py, each decoded there once. The fleets' tests of ownership, changes and telling passed before and after.

--- /dev/null
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -0,0 +1,247 @@
+"""Moves of keys: the first deal, hand-over, and reused addresses."""
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import plan
+from auburnrock.engine.mesh import table as table_module
+from auburnrock.shells.mesh import parts as parts_module
+from auburnrock.shells.mesh import view as view_module
+
+FIRST_DEAL_MS = 3_000.0
+"""Keys are dealt without the missing targets of a first start after this."""
+
+GATHER_MS = 120.0
+"""Released keys wait so long for others, to be moved by one change."""
+
+RECIPIENTS_MAX = 20
+"""Nodes that one change of the table gives keys to: a change has room for 32
+entries, and each of them is one."""
+
+
+class Moves(parts_module.Task):
+    """Plans and carries out the moves of this node's keys.
+
+    Attributes:
+      planned: what the last plan was made from.
+      gather_since_ms: when the first of the released keys was; None if none.
+    """
+
+    def __init__(self, parts: parts_module.Parts):
+        super().__init__(parts)
+        self.planned: tuple = ()
+        self.gather_since_ms: float | None = None
+
+    def _weights(self) -> dict[model.Life, float]:
+        """Targets of this service that may own keys."""
+        weights: dict[model.Life, float] = {}
+        cold: dict[model.Life, float] = {}
+        now_ms = self.now_ms()
+        own = self.holder.life
+        stays = own is not None and not self.holder.draining
+        if stays and not self.holder.lapsed(now_ms):
+            weights[own] = self.parts.weight_of_self()
+        for name, link in self.hub.links.items():
+            if name not in self.view.members or not link.alive():
+                continue
+            status = link.status
+            if status is None or status.service != self.settings.service:
+                continue
+            if status.life is None or link.report.draining:
+                continue
+            group = cold if link.report.cold_ms > 0 else weights
+            group[status.life] = link.report.weight
+        known = self.view.tables.get(self.settings.service)
+        if known is None or not weights:
+            return weights | cold
+        # A cold target keeps what it has and gets nothing new.
+        for life in cold:
+            if life in known[0].lives:
+                weights[life] = cold[life]
+        return weights
+
+    def plan(self, now_ms: float) -> None:
+        """Says which of this node's keys should go elsewhere."""
+        known = self.view.tables.get(self.settings.service)
+        if known is None or now_ms - self.started_ms < parts_module.SETTLE_MS:
+            return
+        weights = self._weights()
+        mark = (known[0].version, tuple(weights.items()), self.holder.life)
+        if mark == self.planned:
+            return
+        self.planned = mark
+        wanted = plan.moves(known[0], weights)
+        giving = dict(self.holder.giving)
+        own = self.holder.life
+        self.holder.give(
+            {index: life for index, life in wanted.items() if life != own}
+        )
+        if giving != self.holder.giving:
+            self.log.write(
+                "moves_planned",
+                table=known[0].version,
+                count=len(self.holder.giving),
+                to=",".join(
+                    sorted(
+                        {life.member for life in self.holder.giving.values()}
+                    )
+                ),
+            )
+            self.parts.news.set()
+
+    async def deal(self, now_ms: float) -> None:
+        """Deals the keys of this node's service for the first time."""
+        service = self.settings.service
+        if (
+            service in self.view.tables
+            or now_ms - self.started_ms < parts_module.SETTLE_MS
+        ):
+            return
+        weights = self._weights()
+        expected = {
+            name
+            for name, (member, _) in self.view.members.items()
+            if member.service == service
+        }
+        present = {life.member for life in weights}
+        complete = expected <= present
+        if not complete and now_ms - self.started_ms < FIRST_DEAL_MS:
+            return
+        if not present or min(present) != self.name:
+            return
+        chosen = sorted(weights, key=lambda life: life.member)[:RECIPIENTS_MAX]
+        table = table_module.first_table(
+            plan.deal({life: weights[life] for life in chosen})
+        )
+        await self._write_table(
+            table, 0, {life.member for life in chosen}, "deal"
+        )
+
+    async def hand_over(self, now_ms: float) -> None:
+        """Gives away the keys that the target no longer holds."""
+        known = self.view.tables.get(self.settings.service)
+        if known is None:
+            return
+        moves = self.holder.released(now_ms)
+        moves |= self._former_moves(now_ms, known[0])
+        if not moves:
+            self.gather_since_ms = None
+            return
+        if self.gather_since_ms is None:
+            self.gather_since_ms = now_ms
+        waits = len(moves) < len(self.holder.giving)
+        if waits and now_ms - self.gather_since_ms < GATHER_MS:
+            return
+        self.gather_since_ms = None
+        recipients: set[str] = set()
+        for index, (life, _) in list(moves.items()):
+            if life.member not in recipients:
+                if len(recipients) >= RECIPIENTS_MAX:
+                    del moves[index]
+                    continue
+                recipients.add(life.member)
+        table = table_module.changed(known[0], moves)
+        self.holder.begin_change(moves)
+        try:
+            done = await self._write_table(table, known[1], recipients, "move")
+        except coordination.StoreUnavailableError:
+            self.holder.change_not_sent()
+            raise
+        except coordination.StoreUnknownError:
+            self.holder.change_unanswered()
+            raise
+        if done:
+            self.parts.metrics.keys_moved.inc(len(moves))
+        else:
+            self.holder.change_failed()
+
+    def _former_moves(
+        self, now_ms: float, table: table_module.KeyTable
+    ) -> dict[int, tuple[model.Life, str]]:
+        """New owners for the keys of earlier targets beside this node."""
+        former = self.holder.former_stripes()
+        if not former:
+            return {}
+        holder = self.holder
+        never_heard = holder.life is None and holder.ended is None
+        if (
+            never_heard
+            and now_ms < holder.unknown_until_ms + parts_module.SETTLE_MS
+        ):
+            # The target may live on and hold what an earlier process granted.
+            return {}
+        if holder.life is not None and not holder.draining:
+            return {index: (holder.life, "") for index in former}
+        weights = self._weights()
+        wanted = plan.moves(table, weights)
+        return {
+            index: (wanted[index], "") for index in former if index in wanted
+        }
+
+    async def adopt_orphans(self, now_ms: float) -> None:
+        """Moves keys whose owner's address went to another service.
+
+        No two hosts have one address at a time, so the earlier host, and the
+        target on it, have ended.
+        """
+        service = self.settings.service
+        known = self.view.tables.get(service)
+        if known is None or now_ms - self.started_ms < parts_module.SETTLE_MS:
+            return
+        gone = {
+            name: self.view.members[name][1]
+            for name in known[0].members()
+            if name in self.view.members
+            and self.view.members[name][0].service != service
+        }
+        weights = self._weights()
+        present = {life.member for life in weights}
+        if not gone or not present or min(present) != self.name:
+            return
+        wanted = plan.moves(known[0], weights)
+        moves = {
+            index: (life, "")
+            for index, life in wanted.items()
+            if known[0].lives[known[0].stripes[index].owner].member in gone
+        }
+        table = table_module.changed(known[0], moves)
+        recipients = {life.member for life, _ in moves.values()}
+        await self._write_table(
+            table, known[1], recipients | set(gone), "address_reused"
+        )
+
+    async def _write_table(
+        self,
+        table: table_module.KeyTable,
+        revision: int,
+        recipients: set[str],
+        cause: str,
+    ) -> bool:
+        """Writes a table if nothing that it builds on has changed."""
+        service = self.settings.service
+        key = self.view.table_key(service)
+        expected = {key: revision}
+        for name in recipients:
+            known = self.view.members.get(name)
+            if known is None:
+                return False
+            expected[self.view.member_key(name)] = known[1]
+        result = await self.store.change(
+            expected, {key: view_module.encode(table)}, []
+        )
+        self.log.write(
+            "table_written",
+            cause=cause,
+            version=table.version,
+            to=",".join(sorted(recipients)),
+            done=isinstance(result, int),
+        )
+        if isinstance(result, coordination.Conflict):
+            newer = [
+                item
+                for item in result.items
+                if item.revision > self.view.known_revision(item.key)
+            ]
+            self.parts.on_items(newer, self.witness.read_at)
+            return False
+        self.parts.adopt_table(service, table, result)
+        return True
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -21,8 +21,10 @@
 from auburnrock.shells.mesh import http_server
 from auburnrock.shells.mesh import metrics as metrics_module
 from auburnrock.shells.mesh import ownership
+from auburnrock.shells.mesh import parts as parts_module
 from auburnrock.shells.mesh import peers
 from auburnrock.shells.mesh import sync
+from auburnrock.shells.mesh import view
 
 HOLD_HEARTBEATS = 2.0
 """A hold outlasts the next heartbeat and one that is lost."""
@@ -131,15 +133,17 @@
             self.execute,
         )
         self.ownership = ownership.Ownership(
-            settings,
-            self.store,
-            dialect.own_prefix,
-            self.holder,
-            self.hub,
-            self.log,
-            self.metrics,
-            self.now_ms,
-            term_ms,
+            parts_module.Parts(
+                settings,
+                self.store,
+                dialect.own_prefix,
+                self.holder,
+                self.hub,
+                self.log,
+                self.metrics,
+                self.now_ms,
+                term_ms,
+            )
         )
         self.configuration_sync = sync.Sync(
             self.store,
@@ -192,10 +196,10 @@
         self.hub.on_stranger = self.on_stranger
         self.hub.on_snapshot = self.on_snapshot
         self.hub.on_silence = self.ownership.on_silence
-        self.hub.on_seal = self.ownership.on_seal
-        self.ownership.on_members = self.dispatcher.take_members
+        self.hub.on_seal = self.ownership.takeover.on_seal
+        self.ownership.parts.on_members = self.dispatcher.take_members
         self.ownership.on_table = self.on_table
-        self.ownership.weight_of_self = self.weight
+        self.ownership.parts.weight_of_self = self.weight
         self.ownership.on_lease_in_doubt = self.own_sync.list_again
         self.dispatcher.reachable = self.reachable
         self.executor.on_crash = self.ownership.news.set
@@ -303,7 +307,13 @@
         short = []
         long = []
         for item in items:
-            told = self.ownership.table_told(item)
+            try:
+                told = self.ownership.view.table_told(item)
+            except view.UnreadableItemError as error:
+                self.log.write(
+                    "table_unreadable", key=item.key, error=str(error)
+                )
+                continue
             if told is not None:
                 self.hub.tell(told)
                 continue
@@ -329,7 +339,7 @@
 
     def on_table_told(self, told: peering.TableTold) -> None:
         """Takes a change of a key table from a reader."""
-        item = self.ownership.told_table(told)
+        item = self.ownership.view.told_table(told)
         if item is not None:
             self.own_sync.take_told([item])
         elif told.change.version > self.table_version(told.service):
--- /dev/null
+++ b/src/auburnrock/shells/mesh/parts.py
@@ -0,0 +1,97 @@
+"""What the tasks of a node's ownership share."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import holder as holder_module
+from auburnrock.engine.mesh import lease as lease_module
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import table as table_module
+from auburnrock.shells.mesh import event_log
+from auburnrock.shells.mesh import metrics as metrics_module
+from auburnrock.shells.mesh import peers
+from auburnrock.shells.mesh import view as view_module
+
+TICK_S = 0.05
+"""A move goes on within this; the work of a tick is small."""
+
+SETTLE_MS = 1_200.0
+"""After a start, other nodes of the same start have registered by then."""
+
+WRITE_PAUSE_MS = 150.0
+"""After a failed write, before the next."""
+
+
+class Parts:
+    """State and neighbours of the tasks.
+
+    Attributes:
+      settings: what the node learnt at its start.
+      store: the platform's store.
+      view: the store's items as known.
+      holder: the target's keys.
+      hub: connections to other nodes.
+      lease: this node's lease.
+      witness: renews other nodes' leases.
+      started_ms: start of this process.
+      news: set whenever the target's keys may have changed.
+      on_items: takes items of the store and the revision of their reading.
+      read_back: lists the store, after a change of unknown outcome.
+      adopt_table: takes a version of a table, read or written.
+      on_members: takes the nodes' records.
+      weight_of_self: this target's share of the keys.
+    """
+
+    def __init__(
+        self,
+        settings: model.Settings,
+        store: coordination.Store,
+        prefix: str,
+        holder: holder_module.Holder,
+        hub: peers.Hub,
+        log: event_log.EventLog,
+        metrics: metrics_module.Metrics,
+        now_ms: Callable[[], float],
+        term_ms: float,
+    ):
+        self.settings = settings
+        self.store = store
+        self.view = view_module.View(prefix)
+        self.holder = holder
+        self.hub = hub
+        self.log = log
+        self.metrics = metrics
+        self.now_ms = now_ms
+        self.name = settings.ip
+        self.started_ms = now_ms()
+        self.lease = lease_module.Lease(self.name, term_ms)
+        self.witness = lease_module.Witness(term_ms, self.started_ms)
+        self.news = asyncio.Event()
+        self.on_items: Callable[[list[coordination.Item], int], None]
+        self.read_back: Callable[[], Awaitable[None]]
+        self.adopt_table: Callable[[str, table_module.KeyTable, int], None]
+        self.on_members: Callable[[dict[str, model.Member]], None]
+        self.weight_of_self: Callable[[], float]
+
+
+class Task:
+    """Base of what carries out one part of the ownership.
+
+    Attributes:
+      parts: what it shares with the others.
+    """
+
+    def __init__(self, parts: Parts):
+        self.parts = parts
+        self.settings = parts.settings
+        self.store = parts.store
+        self.view = parts.view
+        self.holder = parts.holder
+        self.hub = parts.hub
+        self.log = parts.log
+        self.now_ms = parts.now_ms
+        self.name = parts.name
+        self.started_ms = parts.started_ms
+        self.lease = parts.lease
+        self.witness = parts.witness
--- /dev/null
+++ b/src/auburnrock/shells/mesh/record.py
@@ -0,0 +1,181 @@
+"""This node's record in the store, and the witnesses that it names."""
+
+import asyncio
+
+import msgspec
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import lease as lease_module
+from auburnrock.engine.mesh import model
+from auburnrock.shells.mesh import parts as parts_module
+from auburnrock.shells.mesh import view as view_module
+
+UNFIT_MS = 3_000.0
+"""A witness silent for this long is replaced."""
+
+
+class OwnRecord(parts_module.Task):
+    """Writes the record, and changes its witnesses.
+
+    Attributes:
+      revision: of the record; 0 before it is written.
+      record: as written.
+    """
+
+    def __init__(self, parts: parts_module.Parts):
+        super().__init__(parts)
+        self.revision = 0
+        self.record: model.Member | None = None
+        self.unfit_since_ms: float | None = None
+        self.changed_ms = 0.0
+
+    def lose(self, cause: str, revision: int) -> None:
+        """Another node has begun to take this one's keys."""
+        if self.revision:
+            self.log.write(
+                cause,
+                revision=revision,
+                own_revision=self.revision,
+                lease_left_ms=int(self.lease.ends_ms() - self.now_ms()),
+            )
+        self.revision = 0
+        self.record = None
+
+    async def register(self) -> None:
+        """Writes this node's record, or finds it as it should be."""
+        known = self.view.members.get(self.name)
+        witnesses: tuple[str, ...] = ()
+        if known and known[0].service == self.settings.service:
+            witnesses = known[0].witnesses
+        wanted = model.Member(
+            self.name,
+            self.settings.host,
+            self.settings.peer_address,
+            self.settings.zone,
+            self.settings.service,
+            model.MemberState.ACTIVE,
+            witnesses,
+        )
+        if known is not None and known[0] == wanted:
+            self._adopt_record(wanted, known[1])
+            return
+        key = self.view.member_key(self.name)
+        expected = {key: known[1] if known else 0}
+        table = self.view.tables.get(self.settings.service)
+        if table is not None:
+            # Pages of a listing are no snapshot: the record may be seen
+            # removed by a takeover, and the table as it was before.
+            expected[self.view.table_key(self.settings.service)] = table[1]
+        result = await self.store.change(
+            expected, {key: view_module.encode(wanted)}, []
+        )
+        if isinstance(result, coordination.Conflict):
+            self.parts.on_items(result.items, self.witness.read_at)
+            await self.parts.read_back()
+            return
+        self.view.members[self.name] = (wanted, result)
+        self._adopt_record(wanted, result)
+        self.hub.set_members(self.view.records())
+        self.parts.on_members(self.view.records())
+
+    def _adopt_record(self, record: model.Member, revision: int) -> None:
+        self.record = record
+        self.revision = revision
+        self.lease.begin_term(revision, record.witnesses)
+        self.log.write(
+            "registered", revision=revision, witnesses=record.witnesses
+        )
+
+    async def change_witnesses(self, now_ms: float) -> None:
+        """Replaces witnesses that are silent, or adds missing ones."""
+        if now_ms - self.started_ms < parts_module.SETTLE_MS:
+            return
+        alive = self.hub.alive()
+        records = self.view.records()
+        wanted = lease_module.choose_witnesses(self.record, records, alive)
+        present = self.record.witnesses
+        if set(present) <= alive and len(present) >= len(wanted):
+            self.unfit_since_ms = None
+            return
+        if self.unfit_since_ms is None:
+            self.unfit_since_ms = now_ms
+        patience_ms = UNFIT_MS if present else 0.0
+        if now_ms - self.unfit_since_ms < patience_ms or not wanted:
+            return
+        if now_ms - self.changed_ms < lease_module.CHANGE_EVERY_MS:
+            return
+        self.changed_ms = now_ms
+        await self._propose(wanted)
+
+    async def _propose(self, wanted: tuple[str, ...]) -> None:
+        """Asks the new witnesses first, then writes them."""
+        self.lease.propose(wanted)
+        for _ in range(20):
+            await asyncio.sleep(parts_module.TICK_S)
+            if len(self.lease.witnesses) < 2 or not self.revision:
+                return
+            if self.lease.proposal_ready():
+                break
+        else:
+            self.log.write("witnesses_unwilling", witnesses=wanted)
+            self.lease.settle(self.lease.term, self.record.witnesses)
+            return
+        record = msgspec.structs.replace(self.record, witnesses=wanted)
+        key = self.view.member_key(self.name)
+        revision = self.revision
+        before = self.record
+        try:
+            result = await self.store.change(
+                {key: revision}, {key: view_module.encode(record)}, []
+            )
+        except coordination.StoreUnavailableError:
+            self.lease.settle(self.lease.term, before.witnesses)
+            raise
+        except coordination.StoreUnknownError:
+            # Both sets must renew until the store says which one is written.
+            await self._resolve_witnesses(record, revision)
+            return
+        if isinstance(result, coordination.Conflict):
+            self.lose("record_replaced", 0)
+            await self.parts.read_back()
+            return
+        self._settle_record(record, result)
+
+    async def _resolve_witnesses(
+        self, record: model.Member, revision: int
+    ) -> None:
+        """Reads until it is known which witnesses are in the record."""
+        key = self.view.member_key(self.name)
+        while True:
+            try:
+                item = await self.store.read(key)
+                if item is None:
+                    self.lose("record_removed", 0)
+                    return
+                if item.revision == revision:
+                    # The change may still come; this one makes it fail.
+                    result = await self.store.change(
+                        {key: revision}, {key: view_module.encode(record)}, []
+                    )
+                    if isinstance(result, int):
+                        self._settle_record(record, result)
+                        return
+                    continue
+                found = view_module.decode_member(item.value)
+                if found == record:
+                    self._settle_record(record, item.revision)
+                else:
+                    self.lose("record_replaced", item.revision)
+                return
+            except coordination.StoreError as error:
+                self.log.write("witnesses_unresolved", reason=str(error))
+                await asyncio.sleep(parts_module.WRITE_PAUSE_MS / 1_000)
+
+    def _settle_record(self, record: model.Member, revision: int) -> None:
+        self.record = record
+        self.revision = revision
+        self.view.members[self.name] = (record, revision)
+        self.lease.settle(revision, record.witnesses)
+        self.log.write(
+            "witnesses_changed", revision=revision, witnesses=record.witnesses
+        )
--- /dev/null
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -0,0 +1,254 @@
+"""Takeovers: sealing a silent node's lease and giving away its keys."""
+
+import asyncio
+
+import msgspec
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import lease as lease_module
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import plan
+from auburnrock.engine.mesh import table as table_module
+from auburnrock.shells.mesh import moves as moves_module
+from auburnrock.shells.mesh import parts as parts_module
+from auburnrock.shells.mesh import view as view_module
+
+FORGET_MS = 12_000.0
+"""A node that owns nothing and was lost for this long is forgotten; one that
+lives registers anew."""
+
+RANK_DELAY_MS = 400.0
+"""The next witness leads a takeover so much later."""
+
+QUESTION_S = 0.4
+"""Peers answer in milliseconds."""
+
+SEAL_REPEAT_S = 0.15
+"""Between two rounds of seals."""
+
+SEAL_LIMIT_MS = 15_000.0
+"""A takeover without a majority for this long is left to another."""
+
+
+class Takeover(parts_module.Task):
+    """This node's part, as a witness, in taking keys from lost nodes.
+
+    Attributes:
+      sealings: takeovers that it leads, by name of the lost node.
+    """
+
+    def __init__(self, parts: parts_module.Parts):
+        super().__init__(parts)
+        self.sealings: dict[str, asyncio.Task] = {}
+
+    def stop(self) -> None:
+        """Ends the takeovers that it leads."""
+        for task in self.sealings.values():
+            task.cancel()
+
+    def watch_over_others(self, now_ms: float) -> None:
+        """Begins to take over from nodes that their witnesses find silent."""
+        if not self.witness.ready:
+            return
+        for name, (member, _) in self.view.members.items():
+            if name == self.name or name in self.sealings:
+                continue
+            if self.name not in member.witnesses:
+                continue
+            rank = member.witnesses.index(self.name)
+            limit_ms = lease_module.SILENCE_MS + rank * RANK_DELAY_MS
+            if self.witness.silent_ms(now_ms, name) < limit_ms:
+                continue
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._take_over(name))
+            self.sealings[name] = task
+
+    async def _take_over(self, name: str) -> None:
+        """Takes the keys of a silent node, if a majority finds it silent."""
+        try:
+            member, revision = self.view.members[name]
+            if await self._found_silent(member):
+                await self._seal(member, revision)
+        except coordination.StoreError as error:
+            self.log.write("takeover_failed", node=name, reason=str(error))
+        finally:
+            await asyncio.sleep(parts_module.WRITE_PAUSE_MS / 1_000)
+            self.sealings.pop(name, None)
+
+    async def _found_silent(self, member: model.Member) -> bool:
+        others = [
+            name
+            for name in member.witnesses
+            if name != self.name and name in self.hub.links
+        ]
+        answers = await asyncio.gather(
+            *(
+                self.hub.links[name].ask(
+                    peering.Silence(member.name),
+                    ("silence", member.name),
+                    QUESTION_S,
+                )
+                for name in others
+            )
+        )
+        limit_ms = lease_module.SILENCE_MS - lease_module.RENEW_EVERY_MS
+        silent = 1 + sum(
+            1
+            for silent_ms in answers
+            if silent_ms is not None and silent_ms >= limit_ms
+        )
+        return silent >= lease_module.majority(len(member.witnesses))
+
+    async def _seal(self, member: model.Member, revision: int) -> None:
+        """Seals a node's record, then its witnesses, then moves its keys."""
+        key = self.view.member_key(member.name)
+        if member.state != model.MemberState.SEALING:
+            sealed = msgspec.structs.replace(
+                member, state=model.MemberState.SEALING
+            )
+            result = await self.store.change(
+                {key: revision}, {key: view_module.encode(sealed)}, []
+            )
+            if isinstance(result, coordination.Conflict):
+                return
+            revision = result
+        self.log.write("sealing", node=member.name, revision=revision)
+        sealing = lease_module.Sealing(
+            member.name, revision, member.witnesses, self.now_ms()
+        )
+        while not sealing.is_over(self.now_ms()):
+            if self.now_ms() - sealing.began_ms > SEAL_LIMIT_MS:
+                return
+            known = self.view.members.get(member.name)
+            if known is None or known[1] > revision:
+                # It is back, or another witness was faster.
+                return
+            await self._send_seals(sealing)
+            await asyncio.sleep(SEAL_REPEAT_S)
+        await self._take_keys(member, revision)
+
+    async def _send_seals(self, sealing: lease_module.Sealing) -> None:
+        """Asks the witnesses that have not answered."""
+        mark = ("seal", sealing.name, sealing.revision)
+        missing = sealing.missing()
+        if self.name in missing:
+            left_ms = self.on_seal(sealing.name, sealing.revision)
+            if left_ms is not None:
+                sealing.on_sealed(self.now_ms(), self.name, left_ms)
+        asked = [
+            name
+            for name in missing
+            if name != self.name and name in self.hub.links
+        ]
+        answers = await asyncio.gather(
+            *(
+                self.hub.links[name].ask(
+                    peering.Seal(sealing.name, sealing.revision),
+                    mark,
+                    QUESTION_S,
+                )
+                for name in asked
+            )
+        )
+        for name, left_ms in zip(asked, answers, strict=True):
+            if left_ms is not None:
+                sealing.on_sealed(self.now_ms(), name, left_ms)
+
+    def on_seal(self, name: str, revision: int) -> float | None:
+        """Seals a node's terms."""
+        left_ms = self.witness.on_seal(self.now_ms(), name, revision)
+        self.log.write("sealed", node=name, revision=revision, left_ms=left_ms)
+        return left_ms
+
+    async def _take_keys(self, member: model.Member, revision: int) -> None:
+        """Gives a sealed node's keys to others and removes its record."""
+        expected = {self.view.member_key(member.name): revision}
+        puts: dict[str, bytes] = {}
+        known = self.view.tables.get(member.service)
+        table = None
+        if known is not None:
+            expected[self.view.table_key(member.service)] = known[1]
+            moves = self._takeover_moves(member, known[0])
+            if moves:
+                table = table_module.changed(known[0], moves)
+                puts[self.view.table_key(member.service)] = view_module.encode(
+                    table
+                )
+                for life, _ in moves.values():
+                    record = self.view.members.get(life.member)
+                    if record is None:
+                        return
+                    expected[self.view.member_key(life.member)] = record[1]
+            elif member.name in known[0].members():
+                self.log.write("takeover_waits", node=member.name)
+                return
+        result = await self.store.change(
+            expected, puts, [self.view.member_key(member.name)]
+        )
+        done = isinstance(result, int)
+        self.log.write(
+            "taken_over",
+            node=member.name,
+            revision=revision,
+            done=done,
+            version=table.version if table else 0,
+        )
+        if not done:
+            await self.parts.read_back()
+        elif table is not None:
+            self.parts.adopt_table(member.service, table, result)
+
+    def _takeover_moves(
+        self, member: model.Member, table: table_module.KeyTable
+    ) -> dict[int, tuple[model.Life, str]]:
+        """New owners of a lost node's keys."""
+        weights = {}
+        for name, link in self.hub.links.items():
+            status = link.status
+            if status is None or not link.alive():
+                continue
+            if name == member.name or name not in self.view.members:
+                continue
+            if status.service != member.service or status.life is None:
+                continue
+            if not link.report.draining:
+                weights[status.life] = link.report.weight
+        own = self.holder.life
+        is_own_service = member.service == self.settings.service
+        if is_own_service and own is not None and not self.holder.draining:
+            weights[own] = self.parts.weight_of_self()
+        recipients = sorted(weights, key=lambda life: life.member)
+        weights = {
+            life: weights[life]
+            for life in recipients[: moves_module.RECIPIENTS_MAX]
+        }
+        wanted = plan.moves(table, weights)
+        return {
+            index: (life, "")
+            for index, life in wanted.items()
+            if table.lives[table.stripes[index].owner].member == member.name
+        }
+
+    async def forget_lost(self, now_ms: float) -> None:
+        """Removes the record of a node that owns no keys and is long lost."""
+        owners = set().union(
+            *(table.members() for table, _ in self.view.tables.values())
+        )
+        alive = sorted(self.hub.alive() | {self.name})
+        if alive[0] != self.name:
+            return
+        for name, link in list(self.hub.links.items()):
+            known = self.view.members.get(name)
+            if known is None or name in owners or known[0].witnesses:
+                continue
+            if now_ms - max(link.heard_ms, self.started_ms) < FORGET_MS:
+                continue
+            result = await self.store.change(
+                {self.view.member_key(name): known[1]},
+                {},
+                [self.view.member_key(name)],
+            )
+            self.log.write(
+                "record_forgotten", node=name, done=isinstance(result, int)
+            )
--- /dev/null
+++ b/src/auburnrock/shells/mesh/view.py
@@ -0,0 +1,137 @@
+"""The nodes' records and key tables, as this node last saw them."""
+
+import msgspec
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import table as table_module
+
+BASES_KEPT = 4
+"""Earlier versions of a table kept, to tell peers of the change only; a reader
+may have written the last few itself before its watch shows them."""
+
+_ENCODER = msgspec.msgpack.Encoder()
+_MEMBER = msgspec.msgpack.Decoder(model.Member)
+_TABLE = msgspec.msgpack.Decoder(table_module.KeyTable)
+
+
+class UnreadableItemError(Exception):
+    """An item of the store that is no record or table of this version."""
+
+
+def encode(message: model.Member | table_module.KeyTable) -> bytes:
+    """Encodes a record or a table for the store."""
+    return _ENCODER.encode(message)
+
+
+def decode_member(data: bytes) -> model.Member:
+    """Decodes a node's record.
+
+    Raises:
+      UnreadableItemError: it is none.
+    """
+    try:
+        return _MEMBER.decode(data)
+    except msgspec.DecodeError as error:
+        raise UnreadableItemError(str(error)) from error
+
+
+def decode_table(data: bytes) -> table_module.KeyTable:
+    """Decodes a key table.
+
+    Raises:
+      UnreadableItemError: it is none.
+    """
+    try:
+        return _TABLE.decode(data)
+    except msgspec.DecodeError as error:
+        raise UnreadableItemError(str(error)) from error
+
+
+class View:
+    """The nodes' records and key tables as last seen in the store.
+
+    Attributes:
+      prefix: begins the keys of all items.
+      members: record and revision by name.
+      tables: table and revision by service.
+      bases: the last few earlier tables and revisions by service.
+      raw: every item as read, by key.
+    """
+
+    def __init__(self, prefix: str):
+        self.prefix = prefix
+        self.members: dict[str, tuple[model.Member, int]] = {}
+        self.tables: dict[str, tuple[table_module.KeyTable, int]] = {}
+        self.bases: dict[str, list[tuple[table_module.KeyTable, int]]] = {}
+        self.raw: dict[str, coordination.Item] = {}
+
+    def records(self) -> dict[str, model.Member]:
+        """Records by name."""
+        return {name: entry[0] for name, entry in self.members.items()}
+
+    def member_key(self, name: str) -> str:
+        """Key of a node's record."""
+        return f"{self.prefix}m/{name}"
+
+    def table_key(self, service: str) -> str:
+        """Key of a service's table."""
+        return f"{self.prefix}k/{service}"
+
+    def split(self, key: str) -> tuple[str, str]:
+        """Kind of an item, `m` or `k`, and whose it is."""
+        kind, _, name = key.removeprefix(self.prefix).partition("/")
+        return kind, name
+
+    def known_revision(self, key: str) -> int:
+        """Revision of an item as known; 0 for one that is not."""
+        kind, name = self.split(key)
+        known = (self.members if kind == "m" else self.tables).get(name)
+        return known[1] if known else 0
+
+    def adopt_table(
+        self, service: str, table: table_module.KeyTable, revision: int
+    ) -> bool:
+        """Takes a version of a table; False if a later one is known."""
+        known = self.tables.get(service)
+        if known is not None:
+            if known[1] >= revision:
+                return False
+            bases = self.bases.setdefault(service, [])
+            bases.append(known)
+            del bases[:-BASES_KEPT]
+        self.tables[service] = (table, revision)
+        return True
+
+    def table_told(self, item: coordination.Item) -> peering.TableTold | None:
+        """A table's change for peers; None if they need the whole item.
+
+        Raises:
+          UnreadableItemError: the item is no table.
+        """
+        kind, service = self.split(item.key)
+        if kind != "k" or item.value is None:
+            return None
+        known = [*self.bases.get(service, ())]
+        if service in self.tables:
+            known.append(self.tables[service])
+        earlier = [base for base in known if base[1] < item.revision]
+        if not earlier:
+            return None
+        before, base = earlier[-1]
+        after = decode_table(item.value)
+        change = table_module.difference(before, after)
+        if change is None:
+            return None
+        return peering.TableTold(service, base, item.revision, change)
+
+    def told_table(self, told: peering.TableTold) -> coordination.Item | None:
+        """The item that a change tells of; None if its base isn't known."""
+        known = self.tables.get(told.service)
+        if known is None or known[1] != told.base:
+            return None
+        table = table_module.applied(known[0], told.change)
+        return coordination.Item(
+            self.table_key(told.service), encode(table), told.revision
+        )
--- a/tests/cover/test_mesh_changes.py
+++ b/tests/cover/test_mesh_changes.py
@@ -164,8 +164,8 @@
     fleet.store.put(key, fleet.store.value(key))
     fleet.store.apply([], [f"auburnrock/m/{host.ip}"])
     node.ownership.view.members.pop(host.ip)
-    node.ownership.revision = 0
-    await fleet.until(lambda: node.ownership.revision)
+    node.ownership.record.revision = 0
+    await fleet.until(lambda: node.ownership.record.revision)
     known = node.ownership.view.tables["portal"][1]
     assert known == fleet.store.items[key][1]
 
--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -71,7 +71,8 @@
 async def witnesses_chosen(fleet):
     await fleet.until(
         lambda: all(
-            host.node.ownership.record and host.node.ownership.record.witnesses
+            host.node.ownership.record.record
+            and host.node.ownership.record.record.witnesses
             for host in fleet.hosts[:3]
         )
     )
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -97,11 +97,11 @@
     last.own_sync.take_told = lambda items: None
     last.own_sync.is_reader = lambda: False
     last.own_sync.start()
-    revision = last.ownership.revision
+    revision = last.ownership.record.revision
     fleet.store.apply([], [f"auburnrock/m/{last.settings.ip}"])
     for host in fleet.hosts[:3]:
         host.node.ownership.witness.on_seal(
             host.node.now_ms(), last.settings.ip, revision
         )
-    await fleet.until(lambda: last.ownership.revision != revision, 8.0)
-    await fleet.until(lambda: last.ownership.revision > revision, 3.0)
+    await fleet.until(lambda: last.ownership.record.revision != revision, 8.0)
+    await fleet.until(lambda: last.ownership.record.revision > revision, 3.0)
