Spread the witnesses, and keep fleet-wide work off slow links

Three things put the whole fleet's traffic on single hosts. (1) The readers were the lowest-named hosts, whatever their links. (2) The order in which witnesses were chosen was nearly the same for all: 47 of 90 nodes had the same one, so the loss of three hosts would also have ended most leases.

With them, another zone's target must be a fifth quicker to be chosen for work that any target may run: bytes between zones are dear.

--- a/src/auburnrock/engine/mesh/choice.py
+++ b/src/auburnrock/engine/mesh/choice.py
@@ -12,7 +12,11 @@
 import msgspec
 
 OTHER_ZONE_MS = 4.0
-"""Extra cost of another zone: two crossings and the price of the bytes."""
+"""Extra cost of another zone: two crossings, more where the links are full."""
+
+OTHER_ZONE_SHARE = 0.2
+"""Part by which another zone must be quicker: bytes between zones are dear, and
+what little time is lost within the zone stays far below the objectives."""
 
 COLD_FACTOR = 2.0
 """How much slower a target is after its start, before samples say more."""
@@ -124,7 +128,7 @@
             wait_ms += 0.25 * own_ms * busy / max(1, report.slots)
         cost_ms = (own_ms + wait_ms) * (1.0 + FAILURE_COST * self.failures)
         if self.zone != zone:
-            cost_ms += OTHER_ZONE_MS
+            cost_ms += OTHER_ZONE_MS + OTHER_ZONE_SHARE * cost_ms
         return cost_ms
 
 
--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -18,6 +18,7 @@
 """
 
 import msgspec
+import xxhash
 
 from auburnrock.engine.mesh import model
 
@@ -284,7 +285,9 @@
     """Witnesses for a node: present ones that are alive, then other zones.
 
     The same count from each zone as far as possible, so that no zone holds a
-    majority where there are three zones.
+    majority where there are three zones. Rendezvous hashing (Thaler and
+    Ravishankar, 1998) gives each node others, so that the loss of a few hosts
+    ends few leases and nobody renews them all.
     """
     kept = [name for name in own.witnesses if name in alive and name in members]
     chosen = kept[:WITNESSES_MAX]
@@ -294,13 +297,16 @@
         by_zone[zone] = by_zone.get(zone, 0) + 1
     pool = [name for name in alive if name in members and name not in chosen]
     pool = [name for name in pool if name != own.name]
+    quick = [name for name in pool if not members[name].has_slow_link()]
+    if len(quick) >= WITNESSES_MAX - len(chosen):
+        pool = quick
     while pool and len(chosen) < WITNESSES_MAX:
         best = min(
             pool,
             key=lambda name: (
                 by_zone.get(members[name].zone, 0)
                 + (members[name].zone == own.zone),
-                _distance(own.name, name),
+                xxhash.xxh64_intdigest(f"{own.name} {name}".encode()),
             ),
         )
         pool.remove(best)
@@ -311,11 +317,3 @@
         # An even count needs as many witnesses as the next odd one.
         chosen.pop()
     return tuple(sorted(chosen))
-
-
-def _distance(own: str, other: str) -> int:
-    """Spreads the choice over the fleet; any fixed mixing would do."""
-    mixed = 0
-    for letter in own + other:
-        mixed = (mixed * 31 + ord(letter)) % 65_521
-    return mixed
--- a/src/auburnrock/engine/mesh/model.py
+++ b/src/auburnrock/engine/mesh/model.py
@@ -178,6 +178,11 @@
     services: dict[str, Service]
 
 
+SLOW_LINK_MBPS = 20.0
+"""Below this, what many nodes ask of one or are told by one fills its link:
+60 KB for 80 nodes take 2 s at 20 Mbit/s."""
+
+
 class MemberState(enum.IntEnum):
     """State of a node's record in the store."""
 
@@ -196,6 +201,7 @@
       service: service of its target.
       state: whether its keys are being taken from it.
       witnesses: names of the nodes that renew its lease.
+      link_mbps: speed of its host's link; 0 if unknown.
     """
 
     name: str
@@ -205,6 +211,11 @@
     service: str
     state: int = MemberState.ACTIVE
     witnesses: tuple[str, ...] = ()
+    link_mbps: float = 0.0
+
+    def has_slow_link(self) -> bool:
+        """Whether others should serve the whole fleet rather than this one."""
+        return 0.0 < self.link_mbps < SLOW_LINK_MBPS
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -247,6 +258,7 @@
       store_address: the platform's store.
       heartbeat_ms: usual time between heartbeats.
       memory_bytes: memory that this process may use.
+      link_mbps: speed of this host's link; 0 if unknown.
       bounds: promises of the deployment.
     """
 
@@ -264,6 +276,7 @@
     store_address: str
     heartbeat_ms: float
     memory_bytes: int
+    link_mbps: float
     bounds: Bounds
 
 
--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -44,12 +44,12 @@
     Attributes:
       name: the sender.
       start: tells this start of the sender from others.
-      uninformed: whether the sender has not read the store yet.
+      asks_for_snapshot: whether the receiver should tell all it knows.
     """
 
     name: str
     start: str
-    uninformed: bool
+    asks_for_snapshot: bool
 
 
 class Ping(Message, tag=1):
--- a/src/auburnrock/platform/settings.py
+++ b/src/auburnrock/platform/settings.py
@@ -14,6 +14,7 @@
 
 class _Host(msgspec.Struct):
     memory_mb: int
+    link_mbps: float = 0.0
 
 
 class _SelfNode(msgspec.Struct):
@@ -98,6 +99,7 @@
         store_address=wire.platform.platform.address,
         heartbeat_ms=forms.milliseconds(wire.platform.heartbeat),
         memory_bytes=own.limits.memory_mb << 20,
+        link_mbps=own.limits.link_mbps,
         bounds=model.Bounds(
             drain_ms=forms.milliseconds(bounds.drain),
             grace_ms=forms.milliseconds(bounds.grace),
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -46,6 +46,12 @@
 """Between two readings of the store for nodes that connect without a known
 record; many start together."""
 
+SNAPSHOTS = 3
+"""Peers asked at a time for all that they know; one may be behind."""
+
+SNAPSHOTS_EVERY_MS = 600.0
+"""Others are asked after this; on a slow link a snapshot takes as long."""
+
 NEWS_WAIT_S = 0.4
 """A heartbeat without news is answered after this: it must be acknowledged
 within a second, and what comes meanwhile reaches the target at once."""
@@ -174,6 +180,8 @@
         self.configuration_item: coordination.Item | None = None
         self.asked_for: dict[str, int] = {}
         self.asked_for_members_ms = 0.0
+        self.snapshots_since_ms = 0.0
+        self.snapshots_asked = 0
         self.tasks: list[asyncio.Task] = []
         self._connect_parts()
 
@@ -190,7 +198,7 @@
         self.hub.on_pong = self.on_pong
         self.hub.on_ping = self.on_ping
         self.hub.items = self.items
-        self.hub.uninformed = self.uninformed
+        self.hub.asks_for_snapshot = self.asks_for_snapshot
         self.hub.on_told = self.on_told
         self.hub.on_table_told = self.on_table_told
         self.hub.on_stranger = self.on_stranger
@@ -281,13 +289,18 @@
         )
 
     def readers(self) -> list[str]:
-        """Nodes that watch the store, as far as this one knows."""
-        names = [self.settings.ip]
+        """Nodes that watch the store, as far as this one knows.
+
+        Those with slow links come last, since a reader tells all others.
+        """
+        own_mbps = self.settings.link_mbps
+        ranked = [(0.0 < own_mbps < model.SLOW_LINK_MBPS, self.settings.ip)]
         for name in self.hub.alive():
-            status = self.hub.links[name].status
+            link = self.hub.links[name]
+            status = link.status
             if status is not None and status.reads and not status.leaving:
-                names.append(name)
-        return sorted(names)[: sync.READERS]
+                ranked.append((link.member.has_slow_link(), name))
+        return [name for _, name in sorted(ranked)[: sync.READERS]]
 
     def is_reader(self) -> bool:
         """Whether this node is one of those that watch the store."""
@@ -351,12 +364,26 @@
         self.own_sync.take_told(items)
         self.configuration_sync.take_told(items)
 
-    def uninformed(self) -> bool:
-        """Whether peers should tell what they know."""
+    def is_uninformed(self) -> bool:
+        """Whether this process knows less than its peers do."""
         known = self.dispatcher.configuration is not None
         has_read = known and self.ownership.witness.ready
         return not has_read or self.executor.target is None
 
+    def asks_for_snapshot(self) -> bool:
+        """Whether a peer that has just connected should tell what it knows.
+
+        A few are asked at a time: all of a large fleet would fill the link.
+        """
+        if not self.is_uninformed():
+            return False
+        now_ms = self.now_ms()
+        if now_ms - self.snapshots_since_ms >= SNAPSHOTS_EVERY_MS:
+            self.snapshots_since_ms = now_ms
+            self.snapshots_asked = 0
+        self.snapshots_asked += 1
+        return self.snapshots_asked <= SNAPSHOTS
+
     def items(self) -> list[tuple[str, bytes, int]]:
         """The store's items as known here."""
         raw = self.ownership.view.raw.values()
@@ -418,7 +445,7 @@
     def ask_for_member(self, name: str) -> None:
         """Reads the store if a connected node's record is not known."""
         now_ms = self.now_ms()
-        if name in self.hub.links or self.uninformed():
+        if name in self.hub.links or self.is_uninformed():
             return
         if now_ms - self.asked_for_members_ms >= MEMBERS_EVERY_MS:
             self.asked_for_members_ms = now_ms
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -140,7 +140,7 @@
         self.greeted = False
         self.opened_ms = self.hub.now_ms()
         self.connection = connection
-        connection.send(self.hub.hello())
+        connection.send(self.hub.hello(False))
 
     def ping(self) -> None:
         """Sends a ping with this node's load."""
@@ -198,7 +198,7 @@
         self.leaving = self.leaving and hello.start == self.start
         self.start = hello.start
         self.greeted = True
-        if hello.uninformed:
+        if hello.asks_for_snapshot:
             items = self.hub.items()
             self.connection.send(
                 peering.Snapshot(items, self.status, self.report)
@@ -332,7 +332,7 @@
       on_pong: takes a pong.
       on_ping: takes a ping, and returns the term it renewed.
       items: the store's items as known here, for a snapshot.
-      uninformed: whether the store has not been read yet.
+      asks_for_snapshot: whether a connecting peer should tell all it knows.
       on_snapshot: takes a snapshot.
       on_told: takes changes of the store from a reader.
       on_table_told: takes a change of a key table from a reader.
@@ -365,7 +365,7 @@
         self.on_pong: Callable[[Link, peering.Pong], None]
         self.on_ping: Callable[[str, peering.Ping], int]
         self.items: Callable[[], list[tuple[str, bytes, int]]]
-        self.uninformed: Callable[[], bool]
+        self.asks_for_snapshot: Callable[[], bool]
         self.on_told: Callable[[peering.Told], None]
         self.on_table_told: Callable[[peering.TableTold], None]
         self.on_snapshot: Callable[[peering.Snapshot], None]
@@ -384,9 +384,9 @@
             backlog=512,
         )
 
-    def hello(self) -> peering.Hello:
+    def hello(self, asks_for_snapshot: bool) -> peering.Hello:
         """The first message on a connection."""
-        return peering.Hello(self.name, self.start, self.uninformed())
+        return peering.Hello(self.name, self.start, asks_for_snapshot)
 
     def news_for(
         self, connection: frames.FrameConnection
@@ -451,7 +451,7 @@
         """Takes what another node asks."""
         if isinstance(message, peering.Hello):
             self.inbound[connection] = (message.name, message.start)
-            connection.send(self.hello())
+            connection.send(self.hello(self.asks_for_snapshot()))
             if message.name not in self.links:
                 self.on_stranger(message.name)
             return
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -55,6 +55,7 @@
             self.settings.service,
             model.MemberState.ACTIVE,
             witnesses,
+            self.settings.link_mbps,
         )
         if known is not None and known[0] == wanted:
             self._adopt_record(wanted, known[1])
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -126,6 +126,7 @@
             store_address=self.fleet.store_address,
             heartbeat_ms=HEARTBEAT_S * 1_000,
             memory_bytes=300 << 20,
+            link_mbps=1_000.0,
             bounds=model.Bounds(
                 2_000.0, 6_000.0, 2_000.0, 10_000.0, 0.2, 60.0, 10_000.0
             ),
--- a/tests/cover/test_mesh_lease.py
+++ b/tests/cover/test_mesh_lease.py
@@ -1,5 +1,9 @@
 """Leases by witnesses: one test for each rule that keeps one owner."""
 
+import collections
+
+import msgspec
+
 from auburnrock.engine.mesh import lease as lease_module
 from auburnrock.engine.mesh import model
 from tests.common import mesh
@@ -160,6 +164,35 @@
     assert max(zones.count(zone) for zone in zones) <= 2
 
 
+def test_no_host_is_a_witness_of_many_others():
+    """Else the loss of three hosts would end the leases of all."""
+    names = [f"10.{zone}.0.{host}" for zone in (1, 2, 3) for host in range(30)]
+    members = {name: mesh.member(name, name[:4]) for name in names}
+    served = collections.Counter()
+    for name in names:
+        served.update(
+            lease_module.choose_witnesses(
+                members[name], members, set(names) - {name}
+            )
+        )
+    # Five on average; sixteen has a chance of one in 100,000 a host.
+    assert max(served.values()) <= 15
+
+
+def test_hosts_with_slow_links_are_witnesses_only_where_no_others_are():
+    members = {
+        name: msgspec.structs.replace(
+            mesh.member(name), link_mbps=5.0 if name in "bcd" else 100.0
+        )
+        for name in "abcdefghi"
+    }
+    own = members["a"]
+    chosen = lease_module.choose_witnesses(own, members, set("bcdefghi"))
+    assert chosen == tuple("efghi")
+    chosen = lease_module.choose_witnesses(own, members, set("bcdef"))
+    assert chosen == tuple("bcdef")
+
+
 def test_present_witnesses_stay_while_they_live():
     members = {name: mesh.member(name) for name in "abcdefgh"}
     own = mesh.member("a", witnesses=("f", "g", "h"))
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -3,6 +3,7 @@
 import pytest_asyncio
 
 from auburnrock.engine.mesh import peering
+from auburnrock.shells.mesh import node as node_module
 from tests.common import mesh_fleet
 
 
@@ -105,3 +106,27 @@
         )
     await fleet.until(lambda: last.ownership.record.revision != revision, 8.0)
     await fleet.until(lambda: last.ownership.record.revision > revision, 3.0)
+
+
+async def test_a_starting_node_asks_few_peers_for_all_that_they_know(fleet):
+    """In a large fleet the answers of all would fill its link."""
+    restarted = fleet.hosts[2]
+    await restarted.kill_node()
+    fleet.store.switches.busy = True
+    asked = []
+    for host in fleet.hosts:
+        if host is not restarted:
+            link = host.node.hub.links[restarted.ip]
+            take = link.on_hello
+
+            def note(hello, take=take):
+                asked.append(hello.asks_for_snapshot)
+                take(hello)
+
+            link.on_hello = note
+    await restarted.start_node()
+    restarted.node.snapshots_asked = node_module.SNAPSHOTS - 1
+    restarted.node.snapshots_since_ms = restarted.node.now_ms()
+    await fleet.until(lambda: len(asked) == len(fleet.hosts) - 1)
+    assert sum(asked) == 1
+    await fleet.until(lambda: restarted.node.dispatcher.configuration)
