--- a/src/auburnrock/engine/mesh/holder.py
+++ b/src/auburnrock/engine/mesh/holder.py
@@ -153,11 +153,17 @@
         """Stripes of earlier starts of a target beside this node."""
         if self.table is None:
             return []
+        former = {
+            place
+            for place, life in enumerate(self.table.lives)
+            if life.member == self.member and life != self.life
+        }
+        if not former:
+            return []
         return [
             index
             for index, stripe in enumerate(self.table.stripes)
-            if self.table.lives[stripe.owner].member == self.member
-            and self.table.lives[stripe.owner] != self.life
+            if stripe.owner in former
         ]
 
     def give(self, moves: dict[int, model.Life]) -> None:
--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -25,15 +25,18 @@
 
     Attributes:
       told: what this end last said of its node.
+      sent_bytes: bytes written by kind of message, over all connections.
     """
 
     def __init__(
         self,
         on_message: Callable[["FrameConnection", peering.Message], None],
         on_closed: Callable[["FrameConnection"], None],
+        sent_bytes: dict[str, int],
     ):
         self.on_message = on_message
         self.on_closed = on_closed
+        self.sent_bytes = sent_bytes
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.closed = False
@@ -79,6 +82,9 @@
         if self.closed or self.transport is None:
             return False
         data = _ENCODER.encode(message)
+        kind = type(message).__name__
+        size = LENGTH_BYTES + len(data)
+        self.sent_bytes[kind] = self.sent_bytes.get(kind, 0) + size
         self.transport.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
         return True
 
--- a/src/auburnrock/shells/mesh/http_server.py
+++ b/src/auburnrock/shells/mesh/http_server.py
@@ -2,8 +2,7 @@
 
 Requests that a caller sends without waiting run side by side; their answers
 go out in the order of the requests. aiohttp serves one request of a connection
-at a time and costs 15 MB more beside each target, so the parser is used
-directly.
+at a time, so the parser is used directly.
 """
 
 import asyncio
--- a/src/auburnrock/shells/mesh/metrics.py
+++ b/src/auburnrock/shells/mesh/metrics.py
@@ -28,6 +28,7 @@
       repeats: requests sent to a target once more, by cause.
       events: log events by name; also those that were not written.
       store_calls: calls to the store.
+      peer_bytes: bytes written to other nodes, by kind of message.
       keys_moved: stripes that this node gave to other targets.
     """
 
@@ -66,6 +67,9 @@
         self.store_calls = prometheus_client.Gauge(
             "store_calls", "Calls to the store.", **common
         )
+        self.peer_bytes = prometheus_client.Gauge(
+            "peer_bytes", "Bytes to other nodes.", ["message"], **common
+        )
         self.keys_moved = prometheus_client.Counter(
             "stripes_moved", "Stripes given to other targets.", **common
         )
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -1,5 +1,7 @@
 """Moves of keys: the first deal, hand-over, and reused addresses."""
 
+import random
+
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
@@ -13,6 +15,10 @@
 GATHER_MS = 120.0
 """Released keys wait so long for others, to be moved by one change."""
 
+CONFLICT_SPREAD_MS = 10.0
+"""For each target of the service, the longest pause after a change that lost
+to another: a change takes about as long, and the losers must not meet again."""
+
 RECIPIENTS_MAX = 20
 """Nodes that one change of the table gives keys to: a change has room for 32
 entries, and each of them is one."""
@@ -24,12 +30,16 @@
     Attributes:
       planned: what the last plan was made from.
       gather_since_ms: when the first of the released keys was; None if none.
+      wait_until_ms: end of the pause after a change that lost to another.
+      chance: spreads the pauses.
     """
 
     def __init__(self, parts: parts_module.Parts):
         super().__init__(parts)
         self.planned: tuple = ()
         self.gather_since_ms: float | None = None
+        self.wait_until_ms = 0.0
+        self.chance = random.Random()
 
     def _weights(self) -> dict[model.Life, float]:
         """Targets of this service that may own keys."""
@@ -119,7 +129,7 @@
     async def hand_over(self, now_ms: float) -> None:
         """Gives away the keys that the target no longer holds."""
         known = self.view.tables.get(self.settings.service)
-        if known is None:
+        if known is None or now_ms < self.wait_until_ms:
             return
         moves = self.holder.released(now_ms)
         moves |= self._former_moves(now_ms, known[0])
@@ -153,6 +163,8 @@
             self.parts.metrics.keys_moved.inc(len(moves))
         else:
             self.holder.change_failed()
+            spread_ms = CONFLICT_SPREAD_MS * len(table.lives)
+            self.wait_until_ms = now_ms + spread_ms * self.chance.random()
 
     def _former_moves(
         self, now_ms: float, table: table_module.KeyTable
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -352,8 +352,12 @@
 
     def on_table_told(self, told: peering.TableTold) -> None:
         """Takes a change of a key table from a reader."""
-        item = self.ownership.view.told_table(told)
-        if item is not None:
+        table = self.ownership.view.told_table(told)
+        if table is not None:
+            key = self.ownership.view.table_key(told.service)
+            item = coordination.Item(key, view.encode(table), told.revision)
+            # Adopted first, so that the item need not be decoded.
+            self.ownership.adopt_table(told.service, table, told.revision)
             self.own_sync.take_told([item])
         elif told.change.version > self.table_version(told.service):
             self.later(self.ask_for_table, told.service, told.change.version)
@@ -551,6 +555,8 @@
         for event, count in self.log.counts.items():
             self.metrics.events.labels(event).set(count)
         self.metrics.store_calls.set(self.store.calls)
+        for kind, size in self.hub.sent_bytes.items():
+            self.metrics.peer_bytes.labels(kind).set(size)
         return http_server.Answer(
             200,
             [(b"content-type", b"text/plain; version=0.0.4")],
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -124,6 +124,8 @@
     def _on_table(self, service: str, item: coordination.Item) -> None:
         if item.value is None:
             return
+        if self.view.known_revision(item.key) >= item.revision:
+            return
         try:
             table = view_module.decode_table(item.value)
         except view_module.UnreadableItemError as error:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -118,7 +118,9 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self.hub.loop.create_connection(
                     lambda: frames.FrameConnection(
-                        self.on_message, self.on_closed
+                        self.on_message,
+                        self.on_closed,
+                        self.hub.sent_bytes,
                     ),
                     host,
                     int(port),
@@ -323,6 +325,7 @@
       start: tells this process from earlier ones of this node.
       links: by name of the other node.
       work: requests of other nodes, by node, its start and number.
+      sent_bytes: bytes written to other nodes, by kind of message.
       offsets: least difference of clocks seen to each other process.
       execute: runs a request at the target.
       status: this node's status for pings.
@@ -356,6 +359,7 @@
         self.links: dict[str, Link] = {}
         self.inbound: dict[frames.FrameConnection, tuple[str, str]] = {}
         self.work: dict[tuple[str, str, int], Work] = {}
+        self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.execute: Callable[[peering.Run], Awaitable[peering.Outcome]]
         self.status: Callable[[], peering.Status]
@@ -378,7 +382,9 @@
         """Begins to take connections."""
         host, _, port = address.rpartition(":")
         self.listener = await self.loop.create_server(
-            lambda: frames.FrameConnection(self.on_message, self.on_closed),
+            lambda: frames.FrameConnection(
+                self.on_message, self.on_closed, self.sent_bytes
+            ),
             host,
             int(port),
             backlog=512,
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -126,12 +126,11 @@
             return None
         return peering.TableTold(service, base, item.revision, change)
 
-    def told_table(self, told: peering.TableTold) -> coordination.Item | None:
-        """The item that a change tells of; None if its base isn't known."""
+    def told_table(
+        self, told: peering.TableTold
+    ) -> table_module.KeyTable | None:
+        """The table that a change tells of; None if its base isn't known."""
         known = self.tables.get(told.service)
         if known is None or known[1] != told.base:
             return None
-        table = table_module.applied(known[0], told.change)
-        return coordination.Item(
-            self.table_key(told.service), encode(table), told.revision
-        )
+        return table_module.applied(known[0], told.change)
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -130,3 +130,17 @@
     await fleet.until(lambda: len(asked) == len(fleet.hosts) - 1)
     assert sum(asked) == 1
     await fleet.until(lambda: restarted.node.dispatcher.configuration)
+
+
+async def test_the_metrics_tell_what_is_sent_to_other_nodes(fleet):
+    host = fleet.hosts[0]
+    url = f"http://{host.addresses['metrics']}/metrics"
+    async with fleet.session.get(url) as response:
+        text = await response.text()
+    sizes = {
+        line.split('"')[1]: float(line.rsplit(" ", 1)[1])
+        for line in text.splitlines()
+        if line.startswith("auburnrock_peer_bytes{")
+    }
+    assert sizes["Ping"] > 0
+    assert sizes["Pong"] > 0
