--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 import secrets
 
-import xxhash
-
 from auburnrock import errors
 from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import coordination
@@ -24,7 +22,7 @@
 from auburnrock.shells.mesh import parts as parts_module
 from auburnrock.shells.mesh import peers
 from auburnrock.shells.mesh import sync
-from auburnrock.shells.mesh import view
+from auburnrock.shells.mesh import telling
 
 HOLD_HEARTBEATS = 2.0
 """A hold outlasts the next heartbeat and one that is lost."""
@@ -36,22 +34,6 @@
 """The lease outlasts a hold by three renewals, so that a reply never has to
 cut the hold short."""
 
-TOLD_WITHIN_S = 0.2
-"""What a reader tells comes within this of what other peers say."""
-
-TOLD_BY_ONE_BYTES = 1_024
-"""Records of nodes are shorter than this, configurations longer."""
-
-MEMBERS_EVERY_MS = 1_000.0
-"""Between two readings of the store for nodes that connect without a known
-record; many start together."""
-
-SNAPSHOTS = 3
-"""Peers asked at a time for all that they know; one may be behind."""
-
-SNAPSHOTS_EVERY_MS = 600.0
-"""Others are asked after this; on a slow link a snapshot takes as long."""
-
 NEWS_WAIT_S = 0.4
 """A heartbeat without news is answered after this: it must be acknowledged
 within a second, and what comes meanwhile reaches the target at once."""
@@ -151,6 +133,9 @@
                 term_ms,
             )
         )
+        self.telling = telling.Telling(
+            settings, self.hub, self.ownership, self.log, self.now_ms
+        )
         self.configuration_sync = sync.Sync(
             self.store,
             dialect.operator_prefix,
@@ -159,8 +144,8 @@
             self.log,
             self.now_ms,
             self.on_operator_items,
-            self.is_reader,
-            self.tell,
+            self.telling.is_reader,
+            self.telling.tell,
         )
         self.own_sync = sync.Sync(
             self.store,
@@ -170,18 +155,14 @@
             self.log,
             self.now_ms,
             self.ownership.on_items,
-            self.is_reader,
-            self.tell,
+            self.telling.is_reader,
+            self.telling.tell,
         )
         self.callers = self.server(self.dispatcher.handle)
         self.ready = self.server(self.answer_ready)
         self.control = self.server(self.answer_target)
         self.scrapes = self.server(self.answer_scrape)
         self.configuration_item: coordination.Item | None = None
-        self.asked_for: dict[str, int] = {}
-        self.asked_for_members_ms = 0.0
-        self.snapshots_since_ms = 0.0
-        self.snapshots_asked = 0
         self.tasks: list[asyncio.Task] = []
         self._connect_parts()
 
@@ -190,6 +171,10 @@
         return http_server.Server(handler, self.now_ms, self.on_fault)
 
     def _connect_parts(self) -> None:
+        self.telling.own_sync = self.own_sync
+        self.telling.configuration_sync = self.configuration_sync
+        self.telling.configuration_version = self.configuration_version
+        self.telling.is_uninformed = self.is_uninformed
         self.hub.execute = self.executor.run
         self.hub.status = self.status
         self.hub.report = self.executor.report
@@ -198,10 +183,10 @@
         self.hub.on_pong = self.on_pong
         self.hub.on_ping = self.on_ping
         self.hub.items = self.items
-        self.hub.asks_for_snapshot = self.asks_for_snapshot
-        self.hub.on_told = self.on_told
-        self.hub.on_table_told = self.on_table_told
-        self.hub.on_stranger = self.on_stranger
+        self.hub.asks_for_snapshot = self.telling.asks_for_snapshot
+        self.hub.on_told = self.telling.on_told
+        self.hub.on_table_told = self.telling.on_table_told
+        self.hub.on_stranger = self.telling.on_stranger
         self.hub.on_snapshot = self.on_snapshot
         self.hub.on_silence = self.ownership.on_silence
         self.hub.on_seal = self.ownership.takeover.on_seal
@@ -285,109 +270,15 @@
             self.configuration_version(),
             table.version if table else 0,
             self.stopping,
-            self.reads(),
+            self.telling.reads(),
         )
 
-    def readers(self) -> list[str]:
-        """Nodes that watch the store, as far as this one knows.
-
-        Those with slow links come last, since a reader tells all others.
-        """
-        own_mbps = self.settings.link_mbps
-        ranked = [(0.0 < own_mbps < model.SLOW_LINK_MBPS, self.settings.ip)]
-        for name in self.hub.alive():
-            link = self.hub.links[name]
-            status = link.status
-            if status is not None and status.reads and not status.leaving:
-                ranked.append((link.member.has_slow_link(), name))
-        return [name for _, name in sorted(ranked)[: sync.READERS]]
-
-    def is_reader(self) -> bool:
-        """Whether this node is one of those that watch the store."""
-        return self.settings.ip in self.readers()
-
-    def reads(self) -> bool:
-        """Whether the store answers this node."""
-        return not (self.own_sync.is_lost or self.configuration_sync.is_lost)
-
-    def tell(self, items: list[coordination.Item]) -> None:
-        """Tells peers what has changed in the store.
-
-        Every reader tells all peers what is short. What is long comes from
-        one reader to each; a peer that misses it notices by the versions that
-        others name, and reads the store.
-        """
-        short = []
-        long = []
-        for item in items:
-            try:
-                told = self.ownership.view.table_told(item)
-            except view.UnreadableItemError as error:
-                self.log.write(
-                    "table_unreadable", key=item.key, error=str(error)
-                )
-                continue
-            if told is not None:
-                self.hub.tell(told)
-                continue
-            row = (item.key, item.value, item.revision)
-            is_long = len(item.value or b"") > TOLD_BY_ONE_BYTES
-            (long if is_long else short).append(row)
-        if short:
-            self.hub.tell(peering.Told(short))
-        if long:
-            self.hub.tell(peering.Told(long), self.told_by_this_reader())
-
-    def told_by_this_reader(self) -> list[str]:
-        """Peers to which this reader, and no other, tells what is long."""
-        readers = self.readers()
-        if self.settings.ip not in readers:
-            return list(self.hub.links)
-        place = readers.index(self.settings.ip)
-        return [
-            name
-            for name in self.hub.links
-            if xxhash.xxh32_intdigest(name.encode()) % len(readers) == place
-        ]
-
-    def on_table_told(self, told: peering.TableTold) -> None:
-        """Takes a change of a key table from a reader."""
-        table = self.ownership.view.told_table(told)
-        if table is not None:
-            key = self.ownership.view.table_key(told.service)
-            item = coordination.Item(key, view.encode(table), told.revision)
-            # Adopted first, so that the item need not be decoded.
-            self.ownership.adopt_table(told.service, table, told.revision)
-            self.own_sync.take_told([item])
-        elif told.change.version > self.table_version(told.service):
-            self.later(self.ask_for_table, told.service, told.change.version)
-
-    def on_told(self, told: peering.Told) -> None:
-        """Takes changes of the store from a reader."""
-        items = [coordination.Item(*row) for row in told.items]
-        self.own_sync.take_told(items)
-        self.configuration_sync.take_told(items)
-
     def is_uninformed(self) -> bool:
         """Whether this process knows less than its peers do."""
         known = self.dispatcher.configuration is not None
         has_read = known and self.ownership.witness.ready
         return not has_read or self.executor.target is None
 
-    def asks_for_snapshot(self) -> bool:
-        """Whether a peer that has just connected should tell what it knows.
-
-        A few are asked at a time: all of a large fleet would fill the link.
-        """
-        if not self.is_uninformed():
-            return False
-        now_ms = self.now_ms()
-        if now_ms - self.snapshots_since_ms >= SNAPSHOTS_EVERY_MS:
-            self.snapshots_since_ms = now_ms
-            self.snapshots_asked = 0
-        self.snapshots_asked += 1
-        return self.snapshots_asked <= SNAPSHOTS
-
     def items(self) -> list[tuple[str, bytes, int]]:
         """The store's items as known here."""
         raw = self.ownership.view.raw.values()
@@ -435,56 +326,14 @@
     ) -> None:
         """Takes a peer's load, and what it knows if that has changed."""
         self.dispatcher.take_report(name, report)
-        if status is None:
-            return
-        if status.configuration > self.configuration_version():
-            self.later(self.ask_for_configuration, status.configuration)
-        if status.table > self.table_version(status.service):
-            self.later(self.ask_for_table, status.service, status.table)
-
-    def on_stranger(self, name: str) -> None:
-        """Reads the store if no reader soon tells of a node's record."""
-        self.later(self.ask_for_member, name)
-
-    def ask_for_member(self, name: str) -> None:
-        """Reads the store if a connected node's record is not known."""
-        now_ms = self.now_ms()
-        if name in self.hub.links or self.is_uninformed():
-            return
-        if now_ms - self.asked_for_members_ms >= MEMBERS_EVERY_MS:
-            self.asked_for_members_ms = now_ms
-            self.log.write("peer_without_record", peer=name)
-            self.own_sync.list_again()
-
-    def later(self, check: Callable[..., None], *values: object) -> None:
-        """Checks something once what a reader told has had time to come."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(TOLD_WITHIN_S, check, *values)
-
-    def table_version(self, service: str) -> int:
-        """Known version of a service's key table."""
-        known = self.ownership.view.tables.get(service)
-        return known[0].version if known else 0
-
-    def ask_for_table(self, service: str, version: int) -> None:
-        """Reads the store if a peer still has a newer table."""
-        asked = self.asked_for.get(service, 0)
-        if version > max(self.table_version(service), asked):
-            self.asked_for[service] = version
-            self.own_sync.list_again()
+        if status is not None:
+            self.telling.on_status(status)
 
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0 before one is known."""
         configuration = self.dispatcher.configuration
         return configuration.version if configuration else 0
 
-    def ask_for_configuration(self, version: int) -> None:
-        """Reads the store if a peer still has a newer configuration."""
-        asked = self.asked_for.get("", 0)
-        if version > max(self.configuration_version(), asked):
-            self.asked_for[""] = version
-            self.configuration_sync.list_again()
-
     def on_operator_items(
         self, items: list[coordination.Item], revision: int
     ) -> None:
--- /dev/null
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -0,0 +1,212 @@
+"""What nodes tell each other of the store: readers, changes, versions.
+
+A few nodes, the readers, watch the store and tell all others what changed.
+Peers name the versions that they know; who misses one reads the store.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import xxhash
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
+from auburnrock.shells.mesh import event_log
+from auburnrock.shells.mesh import ownership as ownership_module
+from auburnrock.shells.mesh import peers
+from auburnrock.shells.mesh import sync
+from auburnrock.shells.mesh import view
+
+TOLD_WITHIN_S = 0.2
+"""What a reader tells comes within this of what other peers say."""
+
+TOLD_BY_ONE_BYTES = 1_024
+"""Records of nodes are shorter than this, configurations longer."""
+
+MEMBERS_EVERY_MS = 1_000.0
+"""Between two readings of the store for nodes that connect without a known
+record; many start together."""
+
+SNAPSHOTS = 3
+"""Peers asked at a time for all that they know; one may be behind."""
+
+SNAPSHOTS_EVERY_MS = 600.0
+"""Others are asked after this; on a slow link a snapshot takes as long."""
+
+
+class Telling:
+    """This node's part in spreading what the store holds.
+
+    Attributes:
+      own_sync: follows the nodes' own items.
+      configuration_sync: follows the operator's items.
+      configuration_version: says which configuration is in force here.
+      is_uninformed: says whether this process knows less than its peers.
+      asked_for: highest version by service, or "" for the configuration, for
+        which the store was read.
+      asked_for_members_ms: when it was last read for an unknown record.
+      snapshots_since_ms: since when snapshots are counted.
+      snapshots_asked: peers asked for one since then.
+    """
+
+    def __init__(
+        self,
+        settings: model.Settings,
+        hub: peers.Hub,
+        ownership: ownership_module.Ownership,
+        log: event_log.EventLog,
+        now_ms: Callable[[], float],
+    ):
+        self.settings = settings
+        self.hub = hub
+        self.ownership = ownership
+        self.log = log
+        self.now_ms = now_ms
+        self.own_sync: sync.Sync
+        self.configuration_sync: sync.Sync
+        self.configuration_version: Callable[[], int]
+        self.is_uninformed: Callable[[], bool]
+        self.asked_for: dict[str, int] = {}
+        self.asked_for_members_ms = 0.0
+        self.snapshots_since_ms = 0.0
+        self.snapshots_asked = 0
+
+    def readers(self) -> list[str]:
+        """Nodes that watch the store, as far as this one knows.
+
+        Those with slow links come last, since a reader tells all others.
+        """
+        own_mbps = self.settings.link_mbps
+        ranked = [(0.0 < own_mbps < model.SLOW_LINK_MBPS, self.settings.ip)]
+        for name in self.hub.alive():
+            link = self.hub.links[name]
+            status = link.status
+            if status is not None and status.reads and not status.leaving:
+                ranked.append((link.member.has_slow_link(), name))
+        return [name for _, name in sorted(ranked)[: sync.READERS]]
+
+    def is_reader(self) -> bool:
+        """Whether this node is one of those that watch the store."""
+        return self.settings.ip in self.readers()
+
+    def reads(self) -> bool:
+        """Whether the store answers this node."""
+        return not (self.own_sync.is_lost or self.configuration_sync.is_lost)
+
+    def tell(self, items: list[coordination.Item]) -> None:
+        """Tells peers what has changed in the store.
+
+        Every reader tells all peers what is short. What is long comes from
+        one reader to each; a peer that misses it notices by the versions that
+        others name, and reads the store.
+        """
+        short = []
+        long = []
+        for item in items:
+            try:
+                told = self.ownership.view.table_told(item)
+            except view.UnreadableItemError as error:
+                self.log.write(
+                    "table_unreadable", key=item.key, error=str(error)
+                )
+                continue
+            if told is not None:
+                self.hub.tell(told)
+                continue
+            row = (item.key, item.value, item.revision)
+            is_long = len(item.value or b"") > TOLD_BY_ONE_BYTES
+            (long if is_long else short).append(row)
+        if short:
+            self.hub.tell(peering.Told(short))
+        if long:
+            self.hub.tell(peering.Told(long), self.told_by_this_reader())
+
+    def told_by_this_reader(self) -> list[str]:
+        """Peers to which this reader, and no other, tells what is long."""
+        readers = self.readers()
+        if self.settings.ip not in readers:
+            return list(self.hub.links)
+        place = readers.index(self.settings.ip)
+        return [
+            name
+            for name in self.hub.links
+            if xxhash.xxh32_intdigest(name.encode()) % len(readers) == place
+        ]
+
+    def on_told(self, told: peering.Told) -> None:
+        """Takes changes of the store from a reader."""
+        items = [coordination.Item(*row) for row in told.items]
+        self.own_sync.take_told(items)
+        self.configuration_sync.take_told(items)
+
+    def on_table_told(self, told: peering.TableTold) -> None:
+        """Takes a change of a key table from a reader."""
+        table = self.ownership.view.told_table(told)
+        if table is not None:
+            key = self.ownership.view.table_key(told.service)
+            item = coordination.Item(key, view.encode(table), told.revision)
+            # Adopted first, so that the item need not be decoded.
+            self.ownership.adopt_table(told.service, table, told.revision)
+            self.own_sync.take_told([item])
+        elif told.change.version > self.table_version(told.service):
+            self.later(self.ask_for_table, told.service, told.change.version)
+
+    def asks_for_snapshot(self) -> bool:
+        """Whether a peer that has just connected should tell what it knows.
+
+        A few are asked at a time: all of a large fleet would fill the link.
+        """
+        if not self.is_uninformed():
+            return False
+        now_ms = self.now_ms()
+        if now_ms - self.snapshots_since_ms >= SNAPSHOTS_EVERY_MS:
+            self.snapshots_since_ms = now_ms
+            self.snapshots_asked = 0
+        self.snapshots_asked += 1
+        return self.snapshots_asked <= SNAPSHOTS
+
+    def on_stranger(self, name: str) -> None:
+        """Reads the store if no reader soon tells of a node's record."""
+        self.later(self.ask_for_member, name)
+
+    def ask_for_member(self, name: str) -> None:
+        """Reads the store if a connected node's record is not known."""
+        now_ms = self.now_ms()
+        if name in self.hub.links or self.is_uninformed():
+            return
+        if now_ms - self.asked_for_members_ms >= MEMBERS_EVERY_MS:
+            self.asked_for_members_ms = now_ms
+            self.log.write("peer_without_record", peer=name)
+            self.own_sync.list_again()
+
+    def later(self, check: Callable[..., None], *values: object) -> None:
+        """Checks something once what a reader told has had time to come."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(TOLD_WITHIN_S, check, *values)
+
+    def table_version(self, service: str) -> int:
+        """Known version of a service's key table."""
+        known = self.ownership.view.tables.get(service)
+        return known[0].version if known else 0
+
+    def ask_for_table(self, service: str, version: int) -> None:
+        """Reads the store if a peer still has a newer table."""
+        asked = self.asked_for.get(service, 0)
+        if version > max(self.table_version(service), asked):
+            self.asked_for[service] = version
+            self.own_sync.list_again()
+
+    def ask_for_configuration(self, version: int) -> None:
+        """Reads the store if a peer still has a newer configuration."""
+        asked = self.asked_for.get("", 0)
+        if version > max(self.configuration_version(), asked):
+            self.asked_for[""] = version
+            self.configuration_sync.list_again()
+
+    def on_status(self, status: peering.Status) -> None:
+        """Takes which versions a peer knows."""
+        if status.configuration > self.configuration_version():
+            self.later(self.ask_for_configuration, status.configuration)
+        if status.table > self.table_version(status.service):
+            self.later(self.ask_for_table, status.service, status.table)
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -3,7 +3,7 @@
 import pytest_asyncio
 
 from auburnrock.engine.mesh import peering
-from auburnrock.shells.mesh import node as node_module
+from auburnrock.shells.mesh import telling
 from tests.common import mesh_fleet
 
 
@@ -16,12 +16,12 @@
 
 
 def versions(fleet):
-    return {host.node.table_version("portal") for host in fleet.hosts}
+    return {host.node.telling.table_version("portal") for host in fleet.hosts}
 
 
 async def test_a_moved_key_is_told_without_the_whole_table(fleet):
     last = fleet.hosts[4].node
-    assert not last.is_reader()
+    assert not last.telling.is_reader()
     told = []
     changes = []
     take, take_change = last.hub.on_told, last.hub.on_table_told
@@ -30,7 +30,7 @@
         changes.append(message),
         take_change(message),
     )
-    before = last.table_version("portal")
+    before = last.telling.table_version("portal")
     calls = last.store.calls
     fleet.hosts[3].target.state = "draining"
     await fleet.until(lambda: min(versions(fleet)) > before)
@@ -54,7 +54,7 @@
             take(message)
 
     last.hub.on_table_told = miss_first
-    before = last.table_version("portal")
+    before = last.telling.table_version("portal")
     fleet.hosts[3].target.state = "draining"
     await fleet.until(lambda: min(versions(fleet)) > before)
     assert missed
@@ -108,8 +108,12 @@
     await fleet.until(lambda: last.ownership.record.revision > revision, 3.0)
 
 
-async def test_a_starting_node_asks_few_peers_for_all_that_they_know(fleet):
+async def test_a_starting_node_asks_few_peers_for_all_that_they_know(
+    fleet, monkeypatch
+):
     """In a large fleet the answers of all would fill its link."""
+    monkeypatch.setattr(telling, "SNAPSHOTS", 1)
+    monkeypatch.setattr(telling, "SNAPSHOTS_EVERY_MS", 60_000.0)
     restarted = fleet.hosts[2]
     await restarted.kill_node()
     fleet.store.switches.busy = True
@@ -125,8 +129,6 @@
 
             link.on_hello = note
     await restarted.start_node()
-    restarted.node.snapshots_asked = node_module.SNAPSHOTS - 1
-    restarted.node.snapshots_since_ms = restarted.node.now_ms()
     await fleet.until(lambda: len(asked) == len(fleet.hosts) - 1)
     assert sum(asked) == 1
     await fleet.until(lambda: restarted.node.dispatcher.configuration)
