Soak real nodes as processes, with faults from outside

Nodes run as processes under a settings file of the platform's form; store, targets and callers are stand-ins in the soak's process. A seed gives a schedule of kills, freezes, stops, reloads, a store that is down, busy, cut off from one host, forgets or loses answers, targets that crash or lose answers, and new configurations, in series and overlapping. While it runs it checks: one holder a key, at most once, true refusals, own answers, no older configuration after a newer, service within 15 s after the last fault.

Not injected: cuts between nodes, hosts lost for good, clocks.

--- a/src/auburnrock_standins/processes.py
+++ b/src/auburnrock_standins/processes.py
@@ -73,11 +73,16 @@
       output_path: file with what it wrote.
     """
 
-    def __init__(self, command: list[str], output_path: pathlib.Path):
+    def __init__(
+        self,
+        command: list[str],
+        output_path: pathlib.Path,
+        variables: dict[str, str] | None = None,
+    ):
         self.command = command
         self.output_path = output_path
         self.address = ""
-        environment = dict(os.environ)
+        environment = dict(os.environ) | (variables or {})
         environment["PYTHONPATH"] = f"{REPOSITORY / 'src'}:{REPOSITORY}"
         with output_path.open("ab") as output:
             self.popen = subprocess.Popen(
@@ -154,10 +159,12 @@
         for process in self.processes:
             process.kill()
 
-    def start(self, command: list[str]) -> Process:
+    def start(
+        self, command: list[str], variables: dict[str, str] | None = None
+    ) -> Process:
         """Starts `python` with arguments; does not wait for it."""
         path = self.folder / f"process-{len(self.processes)}.log"
-        process = Process(command, path)
+        process = Process(command, path, variables)
         self.processes.append(process)
         return process
 
--- /dev/null
+++ b/tests/common/mesh_soak.py
@@ -0,0 +1,528 @@
+"""A randomized soak: real nodes as processes, faults from outside them.
+
+Usage: python -m tests.common.mesh_soak FIRST LAST
+
+Plays the seeds from FIRST to LAST; ends with 1 if a promise broke. The folder
+of a broken seed keeps what the nodes wrote.
+
+One seed gives one schedule of faults. Nodes meet their store and target as
+stand-ins in this process; each node's way to the store is a link that can be
+cut. The promises are checked while it runs, from what callers and targets see.
+"""
+
+import asyncio
+import copy
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import aiohttp
+import msgspec
+
+from auburnrock.engine.mesh import model
+from auburnrock_standins import forwarder
+from auburnrock_standins import mesh_store
+from auburnrock_standins import mesh_target
+from auburnrock_standins import processes
+from tests.common import mesh_fleet
+
+SERVICES = ("portal", "portal", "portal", "booker", "booker")
+FAULTS_S = 9.0
+"""Faults begin within this; most last less than three seconds."""
+
+RECOVER_S = 15.0
+"""The deployments' bound for service after the last fault."""
+
+RESTART_S = 0.4
+"""The platform starts an ended process again after a short delay."""
+
+CALLERS = 12
+DEADLINE_MS = 1_500
+KINDS = (
+    "kill",
+    "freeze",
+    "terminate",
+    "reload",
+    "store_down",
+    "store_busy",
+    "store_refuses",
+    "store_loses_answers",
+    "store_forgets",
+    "cut_store_forward",
+    "cut_store_both",
+    "crash_target",
+    "lose_answers",
+    "configure",
+)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault of a schedule.
+
+    Attributes:
+      at_s: when it begins.
+      kind: one of KINDS.
+      host: whom it meets, for those of one host.
+      for_s: how long it lasts, for those that end.
+    """
+
+    at_s: float
+    kind: str
+    host: int
+    for_s: float
+
+
+def schedule(seed: int) -> list[Fault]:
+    """The faults of a seed, in the order of their times."""
+    chance = random.Random(seed)
+    faults = []
+    for _ in range(chance.randint(4, 9)):
+        fault = Fault(
+            chance.uniform(0.0, FAULTS_S),
+            chance.choice(KINDS),
+            chance.randrange(len(SERVICES)),
+            chance.choice((0.2, 0.8, 1.5, 3.0, 6.0)),
+        )
+        # Some come in series.
+        faults += [
+            msgspec.structs.replace(fault, at_s=fault.at_s + 1.2 * again)
+            for again in range(chance.choice((1, 1, 2, 3)))
+        ]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+class Attempt(msgspec.Struct):
+    """What a caller sent and got; status 0 stands for no whole answer."""
+
+    name: str
+    path: str
+    idempotent: bool
+    host: int
+    status: int = 0
+    body: bytes = b""
+
+
+class Target(mesh_target.MeshTarget):
+    """A target that shows its holds to the oracle whenever they change."""
+
+    def take(self, reply: dict, sent_s: float) -> None:
+        """Takes what it is to hold."""
+        super().take(reply, sent_s)
+        self.on_taken(self)
+
+
+class Host(mesh_fleet.Host):
+    """A host whose node is a process of its own."""
+
+    def __init__(self, soak: "Soak", number: int, service: str):
+        super().__init__(soak, number, service)
+        # The port of the metrics is fixed, and other soaks may run beside.
+        self.ip = f"127.0.{10 + os.getpid() % 200}.{number}"
+        names = ("caller", "ready", "control", "target", "store", "peer")
+        ports = mesh_fleet.free_ports(self.ip, len(names))
+        self.addresses = {
+            name: f"{self.ip}:{port}"
+            for name, port in zip(names, ports, strict=True)
+        }
+        self.process: processes.Process | None = None
+        self.link: forwarder.Link | None = None
+        self.starts_of_node = 0
+        self.version_seen = 0
+
+    def settings_text(self) -> str:
+        """The settings file as the platform writes it."""
+        at = self.addresses
+        peer = int(at["peer"].rpartition(":")[2])
+        return json.dumps(
+            {
+                "self_node": {
+                    "node_id": f"host-{self.ip}",
+                    "ip": self.ip,
+                    "zone": f"zone-{self.ip[-1]}",
+                    "limits": {"memory_mb": 300, "link_mbps": 1000.0},
+                    "app_address": at["target"],
+                    "service": self.service,
+                },
+                "network": {
+                    "listen": {
+                        "outbound": at["caller"],
+                        "ready": at["ready"],
+                        "control": at["control"],
+                    },
+                    "internal_port_range": [peer, peer + 1],
+                    "zones": {},
+                },
+                "platform": {
+                    "heartbeat": f"{int(mesh_fleet.HEARTBEAT_S * 1_000)}ms",
+                    "platform": {"address": at["store"]},
+                },
+                "terms": {
+                    "bounds": {
+                        "drain": "2000ms",
+                        "grace": "6s",
+                        "config_apply": "2000ms",
+                        "hold_max": "10000ms",
+                        "retry_budget_ratio": 0.2,
+                        "budget_extra_tries": 60,
+                        "budget_window": "10s",
+                    }
+                },
+            }
+        )
+
+    async def start_node(self) -> None:
+        """Starts the node; callers find out when it serves."""
+        folder = self.fleet.deployment.folder
+        path = folder / f"{self.ip}.json"
+        path.write_text(self.settings_text())
+        self.starts_of_node += 1
+        self.version_seen = 0
+        program = self.fleet.program
+        self.process = self.fleet.deployment.start(
+            program, {"AUBURNROCK_CONFIG": str(path)}
+        )
+
+    async def start_target(self) -> mesh_target.MeshTarget:
+        """Starts another start of the target."""
+        self.starts += 1
+        self.target = Target(
+            f"t-{self.ip}-{self.starts}",
+            self.service,
+            self.addresses["target"],
+            self.addresses["control"],
+            self.service == "portal",
+            mesh_fleet.HEARTBEAT_S,
+        )
+        self.target.on_taken = self.fleet.check_holds
+        self.target.behaviour.work_s = 0.02
+        self.fleet.targets.append(self.target)
+        await self.target.start()
+        return self.target
+
+
+class Soak:
+    """One run.
+
+    Attributes:
+      seed: of its schedule.
+      program: arguments of `python` that start a node.
+      broken: broken promises, in words.
+      attempts: everything that callers sent.
+      targets: every start of a target.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        deployment: processes.Deployment,
+        program: tuple[str, ...] = ("-m", "auburnrock.programs.mesh_node"),
+    ):
+        self.seed = seed
+        self.deployment = deployment
+        self.program = list(program)
+        self.chance = random.Random(seed)
+        self.broken: list[str] = []
+        self.attempts: list[Attempt] = []
+        self.targets: list[mesh_target.MeshTarget] = []
+        self.hosts: list[Host] = []
+        self.version = 7
+        self.began_s = 0.0
+
+    async def run(self) -> list[str]:
+        """Runs to the end; returns the broken promises."""
+        self.store, runner = await mesh_store.start()
+        host, port = runner.addresses[0][:2]
+        self.configure()
+        async with aiohttp.ClientSession() as self.session:
+            for number, service in enumerate(SERVICES, 1):
+                each = Host(self, number, service)
+                self.hosts.append(each)
+                await self.start_link(each, host, port)
+                await each.start_node()
+                await each.start_target()
+            await self.until_served("at the start")
+            self.began_s = time.monotonic()
+            callers = [
+                asyncio.create_task(self.call_always()) for _ in range(CALLERS)
+            ]
+            watchers = [
+                asyncio.create_task(self.keep_running(host))
+                for host in self.hosts
+            ]
+            async with asyncio.TaskGroup() as faults:
+                for fault in schedule(self.seed):
+                    faults.create_task(self.bring_about(fault))
+            await self.until_served("after the last fault")
+            for task in (*callers, *watchers):
+                task.cancel()
+            await asyncio.gather(*callers, *watchers, return_exceptions=True)
+        self.check_requests()
+        for each in self.hosts:
+            each.process.kill()
+            each.link.server.close()
+            await each.target.crash()
+        await runner.cleanup()
+        await asyncio.sleep(0.1)
+        return self.broken
+
+    async def start_link(self, host: Host, store: str, port: int) -> None:
+        """Gives a host a way to the store of its own."""
+        listen = forwarder.parse_address(host.addresses["store"])
+        pair = forwarder.Pair(listen, forwarder.Address(store, port))
+        host.link = forwarder.Link(pair)
+        await self.open_link(host)
+
+    async def open_link(self, host: Host) -> None:
+        """Begins to take connections for the store; TCP only."""
+        address, port = host.addresses["store"].split(":")
+        host.link.server = await asyncio.start_server(
+            host.link.accept, address, int(port)
+        )
+
+    def configure(self) -> None:
+        """Writes a version with a route that only later ones have."""
+        wanted = copy.deepcopy(mesh_fleet.CONFIGURATION)
+        wanted["version"] = self.version
+        for version in range(7, self.version + 1):
+            rule = copy.deepcopy(wanted["listeners"][0]["rule_set"][2])
+            rule["name"] = f"r-since-{version}"
+            rule["match"]["path_prefix"] = f"/since-{version}/"
+            wanted["listeners"][0]["rule_set"].append(rule)
+        self.store.put("op/config", msgspec.msgpack.encode(wanted))
+
+    # Faults -----------------------------------------------------------------
+
+    async def bring_about(self, fault: Fault) -> None:
+        """Waits for a fault's time, begins it and ends it."""
+        await asyncio.sleep(fault.at_s)
+        host = self.hosts[fault.host]
+        switches = self.store.switches
+        if fault.kind == "kill":
+            host.process.kill()
+        elif fault.kind == "terminate":
+            host.process.send(signal.SIGTERM)
+        elif fault.kind == "reload":
+            host.process.send(signal.SIGHUP)
+        elif fault.kind == "freeze":
+            frozen = host.process
+            frozen.freeze()
+            await asyncio.sleep(fault.for_s)
+            frozen.thaw()
+        elif fault.kind == "store_down":
+            switches.down = True
+            await asyncio.sleep(fault.for_s)
+            switches.down = False
+        elif fault.kind == "store_busy":
+            switches.busy = True
+            await asyncio.sleep(fault.for_s)
+            switches.busy = False
+        elif fault.kind == "store_refuses":
+            # New connections only; those that are open go on.
+            host.link.server.close()
+            await asyncio.sleep(fault.for_s)
+            if not host.link.server.is_serving():
+                await self.open_link(host)
+        elif fault.kind == "store_loses_answers":
+            switches.lose_changes += 3
+        elif fault.kind == "store_forgets":
+            self.store.forget_history()
+        elif fault.kind in ("cut_store_forward", "cut_store_both"):
+            host.link.forward.set_cut(True)
+            host.link.backward.set_cut(fault.kind == "cut_store_both")
+            await asyncio.sleep(fault.for_s)
+            host.link.forward.set_cut(False)
+            host.link.backward.set_cut(False)
+        elif fault.kind == "crash_target":
+            await host.target.crash()
+            await asyncio.sleep(fault.for_s)
+            if not host.target.server.is_serving():
+                await host.start_target()
+        elif fault.kind == "lose_answers":
+            host.target.behaviour.lose += 3
+        elif fault.kind == "configure":
+            self.version += 1
+            self.configure()
+
+    async def keep_running(self, host: Host) -> None:
+        """Starts a node again after it has ended, as the platform does."""
+        while True:
+            if host.process.popen.poll() is not None:
+                await asyncio.sleep(RESTART_S)
+                await host.start_node()
+            await asyncio.sleep(0.05)
+
+    # Callers ----------------------------------------------------------------
+
+    async def call_always(self) -> None:
+        """Sends one request after the other to any host."""
+        while True:
+            number = len(self.attempts)
+            kind = self.chance.choice(("lookup", "book", "check", "since"))
+            path = f"/{kind}/{number}"
+            if kind == "since":
+                path = f"/since-{self.version}/{number}"
+            attempt = Attempt(
+                f"soak-{number}",
+                path,
+                kind != "book",
+                self.chance.randrange(len(self.hosts)),
+            )
+            self.attempts.append(attempt)
+            await self.call(attempt)
+
+    async def call(self, attempt: Attempt) -> None:
+        """Sends one request; a broken connection leaves its status 0."""
+        host = self.hosts[attempt.host]
+        start = host.starts_of_node
+        known = host.version_seen
+        headers = {
+            "Host": "a.example",
+            "Auburnrock-Attempt-Id": attempt.name,
+            "Auburnrock-Deadline-Ms": str(DEADLINE_MS),
+        }
+        if attempt.path.startswith("/lookup/"):
+            headers["Auburnrock-Shard-Key"] = str(
+                self.chance.randrange(model.KEYS)
+            )
+        try:
+            async with self.session.request(
+                "GET" if attempt.idempotent else "POST",
+                f"http://{host.addresses['caller']}{attempt.path}",
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=2 * DEADLINE_MS / 1_000),
+            ) as response:
+                attempt.body = await response.read()
+                attempt.status = response.status
+        except (aiohttp.ClientError, TimeoutError):
+            await asyncio.sleep(0.1)
+            return
+        self.check_answer(attempt, host, start, known)
+        if attempt.status != 200:
+            await asyncio.sleep(0.05)
+
+    # Promises ---------------------------------------------------------------
+
+    def fail(self, text: str) -> None:
+        """Notes a broken promise with its time."""
+        at_s = time.monotonic() - self.began_s
+        self.broken.append(f"{at_s:.2f} s: {text}")
+
+    def check_holds(self, target: mesh_target.MeshTarget) -> None:
+        """No other target that is up holds a key of this one."""
+        now_s = time.monotonic()
+        target.expire(now_s)
+        own = sorted((h.first, h.last) for h in target.holds.values())
+        for host in self.hosts:
+            other = host.target
+            if other is target or other is None:
+                continue
+            other.expire(now_s)
+            theirs = [(h.first, h.last) for h in other.holds.values()]
+            last = -1
+            for first, end in sorted([*own, *theirs]):
+                if first <= last:
+                    self.fail(
+                        f"{target.name} and {other.name} both hold {first}"
+                    )
+                    return
+                last = end
+
+    def check_answer(
+        self, attempt: Attempt, host: Host, start: int, known: int
+    ) -> None:
+        """An answer is the attempt's own, by no older configuration."""
+        is_own = attempt.body.endswith(attempt.path.encode())
+        if attempt.status == 200 and not is_own:
+            self.fail(f"{attempt.name} got another's answer")
+        if not attempt.path.startswith("/since-"):
+            return
+        version = int(attempt.path.split("/")[1].removeprefix("since-"))
+        if start != host.starts_of_node:
+            return
+        if attempt.status == 200:
+            host.version_seen = max(host.version_seen, version)
+        elif attempt.status == 404 and known >= version:
+            self.fail(f"{host.ip} went back behind version {version}")
+
+    def check_requests(self) -> None:
+        """At most once, and refusals that are true."""
+        runs: dict[str, int] = {}
+        for target in self.targets:
+            for run in target.runs:
+                runs[run.attempt] = runs.get(run.attempt, 0) + 1
+        for attempt in self.attempts:
+            count = runs.get(attempt.name, 0)
+            if attempt.idempotent:
+                continue
+            if count > 1:
+                self.fail(f"{attempt.name} ran {count} times")
+            if count and attempt.status in (408, 421, 429, 503):
+                self.fail(f"{attempt.name} ran in spite of {attempt.status}")
+
+    async def until_served(self, when: str) -> None:
+        """Every node serves keys of all parts within the bound."""
+        waits = [self.serves(host) for host in self.hosts]
+        try:
+            async with asyncio.timeout(RECOVER_S):
+                await asyncio.gather(*waits)
+        except TimeoutError:
+            self.fail(f"not served by all nodes {RECOVER_S} s {when}")
+
+    async def serves(self, host: Host) -> None:
+        """Waits until a node has served a key of each sixteenth of them."""
+        missing = set(range(0, model.KEYS, model.KEYS // 16))
+        while missing:
+            key = min(missing)
+            headers = {
+                "Host": "a.example",
+                "Auburnrock-Attempt-Id": f"serves-{self.chance.random()}",
+                "Auburnrock-Deadline-Ms": "500",
+                "Auburnrock-Shard-Key": str(key),
+            }
+            url = f"http://{host.addresses['caller']}/lookup/x"
+            try:
+                async with self.session.get(
+                    url,
+                    headers=headers,
+                    timeout=aiohttp.ClientTimeout(total=1.0),
+                ) as response:
+                    if response.status == 200:
+                        missing.discard(key)
+                        continue
+            except (aiohttp.ClientError, TimeoutError):
+                # Not up yet, or frozen; the bound tells.
+                pass
+            await asyncio.sleep(0.05)
+
+
+async def run(
+    seed: int, folder: pathlib.Path, program: tuple[str, ...] | None = None
+) -> list[str]:
+    """Runs one seed; returns the broken promises."""
+    with processes.Deployment(folder) as deployment:
+        options = {"program": program} if program else {}
+        return await Soak(seed, deployment, **options).run()
+
+
+def main(first: int, last: int) -> int:
+    """Plays seeds; prints a line for each."""
+    code = 0
+    for seed in range(first, last + 1):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        began_s = time.monotonic()
+        broken = asyncio.run(run(seed, folder))
+        took_s = time.monotonic() - began_s
+        print(f"seed={seed} took_s={took_s:.1f} broken={len(broken)}")
+        for text in broken:
+            print(f"  {text} (logs in {folder})")
+            code = 1
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
--- a/tests/cover/test_mesh_plan.py
+++ b/tests/cover/test_mesh_plan.py
@@ -1,3 +1,5 @@
+import collections
+
 import hypothesis
 import hypothesis.strategies as st
 import msgspec
@@ -34,6 +36,34 @@
         assert len(owners) >= 2
 
 
+def busiest_share(table, width, hot=0.4):
+    """Mean over places of the busiest target's part of the requests.
+
+    The load of a day with a hot range: `hot` of the requests go evenly to
+    `width` neighbouring keys, the others to all keys.
+    """
+    shares = []
+    for first in range(0, model.KEYS - width, 1_009):
+        owners = [table.owner_of(key) for key in range(first, first + width)]
+        parts = collections.Counter(owners)
+        shares.append(
+            max(
+                hot * parts[life] / width + (1 - hot) / len(table.lives)
+                for life in table.lives
+            )
+        )
+    return sum(shares) / len(shares)
+
+
+def test_a_hot_range_burdens_one_target_less_than_in_wide_stripes(monkeypatch):
+    narrow = mesh.table("a", "b", "c", "d", "e")
+    # As many rows as a reply has room for in JSON.
+    monkeypatch.setattr(table_module, "ROWS_MAX", 172)
+    wide = mesh.table("a", "b", "c", "d", "e")
+    for width in (60, 120, 200):
+        assert busiest_share(narrow, width) < busiest_share(wide, width)
+
+
 @hypothesis.given(st.integers(1, 1_024))
 def test_spans_cover_every_key_once(count):
     stripes = tuple(table_module.Stripe(0, 1) for _ in range(count))
