Two more rules taken out that the soak catches

Exchanged answers (seed 1), and lost keys that nobody takes over while the restarted node begins no term (seed 1).

--- a/tests/common/mesh_broken.py
+++ b/tests/common/mesh_broken.py
@@ -15,6 +15,8 @@
 from auburnrock.engine.mesh import routing
 from auburnrock.programs import mesh_node
 from auburnrock.shells.mesh import node
+from auburnrock.shells.mesh import record
+from auburnrock.shells.mesh import takeover
 
 
 def give_away_what_is_still_held() -> None:
@@ -66,6 +68,34 @@
     node.Node.take_configuration = take
 
 
+def answer_with_the_one_before() -> None:
+    """Bodies of answers are exchanged."""
+    known = node.Node.execute
+    before = [b"none"]
+
+    async def execute(self, name, run):
+        outcome = await known(self, name, run)
+        if not isinstance(outcome, peering.Answered):
+            return outcome
+        body = before[0]
+        before[0] = outcome.body
+        return msgspec.structs.replace(outcome, body=body)
+
+    node.Node.execute = execute
+
+
+def leave_lost_keys_alone() -> None:
+    """A node that starts again begins no term, and nobody takes its keys."""
+    known = record.OwnRecord.register
+
+    async def register(self):
+        if self.name not in self.view.members:
+            await known(self)
+
+    record.OwnRecord.register = register
+    takeover.Takeover.watch_over_others = lambda self, now_ms: None
+
+
 RULES: dict[str, Callable[[], None]] = {
     rule.__name__: rule
     for rule in (
@@ -73,6 +103,8 @@
         repeat_anything,
         refuse_what_has_run,
         take_any_configuration,
+        answer_with_the_one_before,
+        leave_lost_keys_alone,
     )
 }
 
--- a/tests/nocover/test_mesh_soak_long.py
+++ b/tests/nocover/test_mesh_soak_long.py
@@ -17,6 +17,8 @@
         ("repeat_anything", 4),
         ("refuse_what_has_run", 1),
         ("take_any_configuration", 3),
+        ("answer_with_the_one_before", 1),
+        ("leave_lost_keys_alone", 1),
     ],
 )
 async def test_the_soak_catches_a_missing_rule(rule, seed, tmp_path):
