Call no service unknown before a configuration is known

Cause: the front of the product's own interface answered 404 unknown_service both for a service that no operators' file describes and while it had read no configuration at all. A daemon that has just started takes callers before its first reading of the store.

Change: such a request waits up to a second, or its deadline, for the first configuration, and is told 503 store_unavailable, not run, after that.

--- a/src/auburnrock/shells/front.py
+++ b/src/auburnrock/shells/front.py
@@ -22,6 +22,13 @@
 HTTP_INTERNAL_ERROR = 500
 MILLISECONDS_PER_SECOND = 1_000
 
+FIRST_CONFIGURATION_MS = 1_000
+"""How long a request waits at a node that has just started; reading the store
+takes milliseconds, and without the store the caller is told to come back."""
+
+POLL_S = 0.02
+"""How soon a request notices the first configuration."""
+
 
 class Router(abc.ABC):
     """Brings a request to the node that runs it."""
@@ -195,6 +202,11 @@
         self, http: web.BaseRequest, request_id: str
     ) -> messages.Request | errors.Failure:
         service_name, _, path = http.raw_path.lstrip("/").partition("/")
+        if not await self._is_configured(http):
+            return errors.Failure(
+                errors.ErrorKind.STORE_UNAVAILABLE,
+                "this node has not read the operators' files yet; try again",
+            )
         settings = self._service_settings(service_name)
         if settings is None:
             return errors.Failure(
@@ -244,6 +256,24 @@
             first_try=http.headers.get(wire.FIRST_TRY) == "yes",
         )
 
+    async def _is_configured(self, http: web.BaseRequest) -> bool:
+        """Waits a while for the first configuration.
+
+        Which services there are is known from a configuration only, so
+        nothing is called unknown before.
+        """
+        wait_ms = FIRST_CONFIGURATION_MS
+        text = http.headers.get(wire.DEADLINE_MS, "")
+        if text.isdecimal():
+            wait_ms = min(wait_ms, int(text))
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_ms / MILLISECONDS_PER_SECOND
+        while self.router.configuration() is None:
+            if loop.time() >= end_s:
+                return False
+            await asyncio.sleep(POLL_S)
+        return True
+
     def _service_settings(self, name: str) -> records.ServiceSettings | None:
         configuration = self.router.configuration()
         if configuration is None:
