--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -149,7 +149,15 @@
     async def start_target(self) -> mesh_target.MeshTarget:
         """Starts another start of the target."""
         self.starts += 1
-        self.target = mesh_target.MeshTarget(
+        self.target = self.make_target(mesh_target.MeshTarget)
+        await self.target.start()
+        return self.target
+
+    def make_target(
+        self, kind: type[mesh_target.MeshTarget]
+    ) -> mesh_target.MeshTarget:
+        """A target of this host that is not started yet."""
+        return kind(
             f"t-{self.ip}-{self.starts}",
             self.service,
             self.addresses["target"],
@@ -157,8 +165,6 @@
             self.service == "portal",
             HEARTBEAT_S,
         )
-        await self.target.start()
-        return self.target
 
 
 class Fleet:
--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -12,8 +12,6 @@
 
 import asyncio
 import copy
-import json
-import os
 import pathlib
 import random
 import signal
@@ -30,10 +28,7 @@
 from auburnrock_standins import mesh_target
 from auburnrock_standins import processes
 from tests.common import mesh_fleet
-
-SERVICES = ("portal", "portal", "portal", "booker", "booker")
-FAULTS_S = 9.0
-"""Faults begin within this; most last less than three seconds."""
+from tests.common import mesh_soak_faults
 
 RECOVER_S = 15.0
 """The deployments' bound for service after the last fault."""
@@ -43,57 +38,6 @@
 
 CALLERS = 12
 DEADLINE_MS = 1_500
-KINDS = (
-    "kill",
-    "freeze",
-    "terminate",
-    "reload",
-    "store_down",
-    "store_busy",
-    "store_refuses",
-    "store_loses_answers",
-    "store_forgets",
-    "cut_store_forward",
-    "cut_store_both",
-    "crash_target",
-    "lose_answers",
-    "configure",
-)
-
-
-class Fault(msgspec.Struct, frozen=True):
-    """One fault of a schedule.
-
-    Attributes:
-      at_s: when it begins.
-      kind: one of KINDS.
-      host: whom it meets, for those of one host.
-      for_s: how long it lasts, for those that end.
-    """
-
-    at_s: float
-    kind: str
-    host: int
-    for_s: float
-
-
-def schedule(seed: int) -> list[Fault]:
-    """The faults of a seed, in the order of their times."""
-    chance = random.Random(seed)
-    faults = []
-    for _ in range(chance.randint(4, 9)):
-        fault = Fault(
-            chance.uniform(0.0, FAULTS_S),
-            chance.choice(KINDS),
-            chance.randrange(len(SERVICES)),
-            chance.choice((0.2, 0.8, 1.5, 3.0, 6.0)),
-        )
-        # Some come in series.
-        faults += [
-            msgspec.structs.replace(fault, at_s=fault.at_s + 1.2 * again)
-            for again in range(chance.choice((1, 1, 2, 3)))
-        ]
-    return sorted(faults, key=lambda fault: fault.at_s)
 
 
 class Attempt(msgspec.Struct):
@@ -107,105 +51,7 @@
     body: bytes = b""
 
 
-class Target(mesh_target.MeshTarget):
-    """A target that shows its holds to the oracle whenever they change."""
-
-    def take(self, reply: dict, sent_s: float) -> None:
-        """Takes what it is to hold."""
-        super().take(reply, sent_s)
-        self.on_taken(self)
-
-
-class Host(mesh_fleet.Host):
-    """A host whose node is a process of its own."""
-
-    def __init__(self, soak: "Soak", number: int, service: str):
-        super().__init__(soak, number, service)
-        # The port of the metrics is fixed, and other soaks may run beside.
-        self.ip = f"127.0.{10 + os.getpid() % 200}.{number}"
-        names = ("caller", "ready", "control", "target", "store", "peer")
-        ports = mesh_fleet.free_ports(self.ip, len(names))
-        self.addresses = {
-            name: f"{self.ip}:{port}"
-            for name, port in zip(names, ports, strict=True)
-        }
-        self.process: processes.Process | None = None
-        self.link: forwarder.Link | None = None
-        self.starts_of_node = 0
-        self.version_seen = 0
-
-    def settings_text(self) -> str:
-        """The settings file as the platform writes it."""
-        at = self.addresses
-        peer = int(at["peer"].rpartition(":")[2])
-        return json.dumps(
-            {
-                "self_node": {
-                    "node_id": f"host-{self.ip}",
-                    "ip": self.ip,
-                    "zone": f"zone-{self.ip[-1]}",
-                    "limits": {"memory_mb": 300, "link_mbps": 1000.0},
-                    "app_address": at["target"],
-                    "service": self.service,
-                },
-                "network": {
-                    "listen": {
-                        "outbound": at["caller"],
-                        "ready": at["ready"],
-                        "control": at["control"],
-                    },
-                    "internal_port_range": [peer, peer + 1],
-                    "zones": {},
-                },
-                "platform": {
-                    "heartbeat": f"{int(mesh_fleet.HEARTBEAT_S * 1_000)}ms",
-                    "platform": {"address": at["store"]},
-                },
-                "terms": {
-                    "bounds": {
-                        "drain": "2000ms",
-                        "grace": "6s",
-                        "config_apply": "2000ms",
-                        "hold_max": "10000ms",
-                        "retry_budget_ratio": 0.2,
-                        "budget_extra_tries": 60,
-                        "budget_window": "10s",
-                    }
-                },
-            }
-        )
-
-    async def start_node(self) -> None:
-        """Starts the node; callers find out when it serves."""
-        folder = self.fleet.deployment.folder
-        path = folder / f"{self.ip}.json"
-        path.write_text(self.settings_text())
-        self.starts_of_node += 1
-        self.version_seen = 0
-        program = self.fleet.program
-        self.process = self.fleet.deployment.start(
-            program, {"AUBURNROCK_CONFIG": str(path)}
-        )
-
-    async def start_target(self) -> mesh_target.MeshTarget:
-        """Starts another start of the target."""
-        self.starts += 1
-        self.target = Target(
-            f"t-{self.ip}-{self.starts}",
-            self.service,
-            self.addresses["target"],
-            self.addresses["control"],
-            self.service == "portal",
-            mesh_fleet.HEARTBEAT_S,
-        )
-        self.target.on_taken = self.fleet.check_holds
-        self.target.behaviour.work_s = 0.02
-        self.fleet.targets.append(self.target)
-        await self.target.start()
-        return self.target
-
-
-class Soak:
+class Soak(mesh_soak_faults.Fleet):
     """One run.
 
     Attributes:
@@ -229,7 +75,7 @@
         self.broken: list[str] = []
         self.attempts: list[Attempt] = []
         self.targets: list[mesh_target.MeshTarget] = []
-        self.hosts: list[Host] = []
+        self.hosts: list[mesh_soak_faults.Host] = []
         self.version = 7
         self.began_s = 0.0
 
@@ -239,8 +85,8 @@
         host, port = runner.addresses[0][:2]
         self.configure()
         async with aiohttp.ClientSession() as self.session:
-            for number, service in enumerate(SERVICES, 1):
-                each = Host(self, number, service)
+            for number, service in enumerate(mesh_soak_faults.SERVICES, 1):
+                each = mesh_soak_faults.Host(self, number, service)
                 self.hosts.append(each)
                 await self.start_link(each, host, port)
                 await each.start_node()
@@ -255,7 +101,7 @@
                 for host in self.hosts
             ]
             async with asyncio.TaskGroup() as faults:
-                for fault in schedule(self.seed):
+                for fault in mesh_soak_faults.schedule(self.seed):
                     faults.create_task(self.bring_about(fault))
             await self.until_served("after the last fault")
             for task in (*callers, *watchers):
@@ -270,14 +116,16 @@
         await asyncio.sleep(0.1)
         return self.broken
 
-    async def start_link(self, host: Host, store: str, port: int) -> None:
+    async def start_link(
+        self, host: mesh_soak_faults.Host, store: str, port: int
+    ) -> None:
         """Gives a host a way to the store of its own."""
         listen = forwarder.parse_address(host.addresses["store"])
         pair = forwarder.Pair(listen, forwarder.Address(store, port))
         host.link = forwarder.Link(pair)
         await self.open_link(host)
 
-    async def open_link(self, host: Host) -> None:
+    async def open_link(self, host: mesh_soak_faults.Host) -> None:
         """Begins to take connections for the store; TCP only."""
         address, port = host.addresses["store"].split(":")
         host.link.server = await asyncio.start_server(
@@ -297,7 +145,7 @@
 
     # Faults -----------------------------------------------------------------
 
-    async def bring_about(self, fault: Fault) -> None:
+    async def bring_about(self, fault: mesh_soak_faults.Fault) -> None:
         """Waits for a fault's time, begins it and ends it."""
         await asyncio.sleep(fault.at_s)
         host = self.hosts[fault.host]
@@ -348,7 +196,7 @@
             self.version += 1
             self.configure()
 
-    async def keep_running(self, host: Host) -> None:
+    async def keep_running(self, host: mesh_soak_faults.Host) -> None:
         """Starts a node again after it has ended, as the platform does."""
         while True:
             if host.process.popen.poll() is not None:
@@ -433,7 +281,11 @@
                 last = end
 
     def check_answer(
-        self, attempt: Attempt, host: Host, start: int, known: int
+        self,
+        attempt: Attempt,
+        host: mesh_soak_faults.Host,
+        start: int,
+        known: int,
     ) -> None:
         """An answer is the attempt's own, by no older configuration."""
         is_own = attempt.body.endswith(attempt.path.encode())
@@ -473,7 +325,7 @@
         except TimeoutError:
             self.fail(f"not served by all nodes {RECOVER_S} s {when}")
 
-    async def serves(self, host: Host) -> None:
+    async def serves(self, host: mesh_soak_faults.Host) -> None:
         """Waits until a node has served a key of each sixteenth of them."""
         missing = set(range(0, model.KEYS, model.KEYS // 16))
         while missing:
--- a/tests/cover/test_mesh_soak.py
+++ b/tests/cover/test_mesh_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.common import mesh_soak
+from tests.common import mesh_soak_faults
 
 SEEDS = (1,)
 
@@ -13,5 +14,5 @@
 
 
 def test_a_seed_gives_one_schedule():
-    assert mesh_soak.schedule(7) == mesh_soak.schedule(7)
-    assert mesh_soak.schedule(7) != mesh_soak.schedule(8)
+    assert mesh_soak_faults.schedule(7) == mesh_soak_faults.schedule(7)
+    assert mesh_soak_faults.schedule(7) != mesh_soak_faults.schedule(8)
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -78,6 +78,7 @@
         lambda: {h.node.configuration_version() for h in fleet.hosts} == {9}
     )
     told = [name for name, key in rows if key == "op/config"]
+    assert told
     assert len(told) == len(set(told)) <= len(fleet.hosts)
 
 
