Read every number of the settings as a fraction

Cause: the small twin of a large deployment is given a part of each number, 46.54 repeats; the field was typed int, so no process started (start_failed, 'Expected int, got float'). Ruled out: other fields of the settings in its file are whole there, but each number is read the same way now; a missing bound has the strictest fallback.

--- a/src/auburnrock/platform/settings.py
+++ b/src/auburnrock/platform/settings.py
@@ -13,8 +13,9 @@
 
 
 class _Host(msgspec.Struct):
-    memory_mb: int
-    link_mbps: float = 0.0
+    # Numbers are read as fractions: a fleet must not stay down over 4.0.
+    memory_mb: float
+    link_mbps: float | None = None
 
 
 class _SelfNode(msgspec.Struct):
@@ -39,7 +40,7 @@
 
 class _Network(msgspec.Struct):
     listen: _Listen
-    internal_port_range: tuple[int, int]
+    internal_port_range: tuple[float, float]
     zones: dict[str, str]
 
 
@@ -54,12 +55,14 @@
 
 
 class _Bounds(msgspec.Struct):
-    drain: str
-    grace: str
-    config_apply: str
-    hold_max: str
-    retry_budget_ratio: float
-    retry_extra: int = msgspec.field(name="budget_extra_tries")
+    # A bound of a contract that is not in force may be missing. The fallbacks
+    # are the strictest of the deployments' bounds: without a budget, no repeat.
+    drain: str = "2000ms"
+    grace: str = "6s"
+    config_apply: str = "2000ms"
+    hold_max: str = "10000ms"
+    retry_budget_ratio: float = 0.0
+    retry_extra: float = msgspec.field(name="budget_extra_tries", default=0.0)
     budget_window: str = "10s"
 
 
@@ -83,7 +86,7 @@
     wire = forms.decode_file(_Settings, data)
     own = wire.self_node
     bounds = wire.terms.bounds
-    first_port = wire.network.internal_port_range[0]
+    first_port = int(wire.network.internal_port_range[0])
     return model.Settings(
         host=own.node_id,
         ip=own.ip,
@@ -98,8 +101,8 @@
         metrics_address=f"{own.ip}:{METRICS_PORT}",
         store_address=wire.platform.platform.address,
         heartbeat_ms=forms.milliseconds(wire.platform.heartbeat),
-        memory_bytes=own.limits.memory_mb << 20,
-        link_mbps=own.limits.link_mbps,
+        memory_bytes=int(own.limits.memory_mb * (1 << 20)),
+        link_mbps=own.limits.link_mbps or 0.0,
         bounds=model.Bounds(
             drain_ms=forms.milliseconds(bounds.drain),
             grace_ms=forms.milliseconds(bounds.grace),
--- /dev/null
+++ b/tests/cover/test_platform_settings.py
@@ -0,0 +1,57 @@
+"""What a node makes of the settings file of the users' platform."""
+
+import json
+
+import pytest
+
+from auburnrock.platform import settings
+from tests.common import platform_settings
+
+
+def decode(fields: dict):
+    return settings.decode(json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize("path", list(platform_settings.numbers()))
+@pytest.mark.parametrize("fraction", [0.0, 0.64])
+def test_a_number_with_a_fraction_does_not_keep_a_node_down(path, fraction):
+    """A deployment of half the size is given half of each number."""
+    place = platform_settings.SETTINGS
+    for step in path:
+        place = place[step]
+    decode(platform_settings.with_value(path, place + fraction))
+
+
+def test_the_budget_of_repeats_keeps_its_fraction():
+    path = ("terms", "bounds", "budget_extra_tries")
+    taken = decode(platform_settings.with_value(path, 46.54))
+    assert taken.bounds.retry_extra == 46.54
+
+
+def test_without_a_budget_nothing_is_repeated():
+    fields = platform_settings.without(
+        ("terms", "bounds", "budget_extra_tries")
+    )
+    del fields["terms"]["bounds"]["retry_budget_ratio"]
+    taken = decode(fields)
+    assert taken.bounds.retry_extra == 0.0
+    assert taken.bounds.retry_ratio == 0.0
+
+
+@pytest.mark.parametrize(
+    "name", sorted(platform_settings.SETTINGS["terms"]["bounds"])
+)
+def test_a_bound_of_a_contract_that_is_not_in_force_may_be_missing(name):
+    decode(platform_settings.without(("terms", "bounds", name)))
+
+
+def test_unknown_fields_are_ignored():
+    decode(platform_settings.with_value(("terms", "fashion"), {"of": [1.5]}))
+
+
+@pytest.mark.parametrize(
+    "path", [("self_node", "ip"), ("platform", "platform", "address")]
+)
+def test_a_missing_address_is_refused_by_its_name(path):
+    with pytest.raises(ValueError, match=path[-1]):
+        decode(platform_settings.without(path))
