--- a/src/auburnrock/engine/mesh/choice.py
+++ b/src/auburnrock/engine/mesh/choice.py
@@ -5,12 +5,21 @@
 much waits there; between answers this node counts what it has sent itself.
 The choice goes to the least expected time to an answer, where another zone
 costs a little more than its link.
+
+Load answered besides: hundreds of nodes that each ask a target now and then,
+so that what they know of it is old, and all would go to the same one. Each
+compares a few at random (Mitzenmacher, 2001), and offers its work with a bound
+on the wait while its report is old: a target that is fuller refuses it at
+once, with a fresh report, and the next one is asked.
 """
 
+from collections.abc import Callable
 import random
 
 import msgspec
 
+from auburnrock.engine.mesh import membership
+
 OTHER_ZONE_MS = 4.0
 """Extra cost of another zone: two crossings, more where the links are full."""
 
@@ -21,6 +30,9 @@
 COLD_FACTOR = 2.0
 """How much slower a target is after its start, before samples say more."""
 
+COLD_MS = 1_000.0
+"""Stands for the rest of a cold start where only the directory tells of it."""
+
 FAILURE_WEIGHT = 0.12
 """Weight of one outcome in the running share of failures."""
 
@@ -28,7 +40,23 @@
 """Expected time multiplies by this much at a failure share of one."""
 
 REPORT_FADES_MS = 1_500.0
-"""A report of a wait counts less with its age and nothing after this."""
+"""A report of load counts less with its age and nothing after this."""
+
+COMPARED_NEAR = 4
+COMPARED_FAR = 2
+"""Targets of the own and of other zones that are compared for one request. Up
+to so many in all, every target is compared."""
+
+FRESH_MS = 400.0
+"""A report of this age is good enough to wait in that target's queue."""
+
+IMPATIENT_MAX = 2
+"""Targets that are asked with a bound on the wait, before one is asked without
+it; at nine slots of ten in use, three of four requests find a free slot."""
+
+PATIENCE_SHARE = 0.04
+"""Wait, as a part of the objective, that is accepted without a fresh report:
+asking elsewhere costs a round trip."""
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -65,9 +93,9 @@
       name: name of the node beside it.
       zone: its availability zone.
       report: what its node said last.
-      reported_ms: when.
+      reported_ms: when; 0 if only the directory tells of it.
       sent: requests of this node that have not been answered.
-      sent_before: of those, how many the report may not include.
+      sent_since: of those, how many the report may not include.
       failures: running share of failures.
       closed_until_ms: not chosen before; for targets that refuse or are gone.
     """
@@ -99,6 +127,31 @@
         self.reported_ms = now_ms
         self.sent_since = 0
 
+    def take_entry(self, entry: membership.Entry) -> None:
+        """Takes what the directory says; a report says more of the load."""
+        is_same = (
+            self.report.slots == entry.slots
+            and self.report.draining == entry.draining
+            and (self.report.cold_ms > 0.0) == entry.cold
+        )
+        if is_same and self.reported_ms:
+            return
+        self.report = Report(
+            entry.slots,
+            0,
+            0,
+            0.0,
+            entry.pace,
+            entry.draining,
+            COLD_MS if entry.cold else 0.0,
+            entry.weight(),
+        )
+        self.reported_ms = 0.0
+
+    def is_fresh(self, now_ms: float) -> bool:
+        """Whether its load is known."""
+        return now_ms - self.reported_ms <= FRESH_MS
+
     def begin(self) -> None:
         """Counts a request that is sent there."""
         self.sent += 1
@@ -113,11 +166,13 @@
         """Expected time to an answer for `work_ms` of average work."""
         report = self.report
         pace = report.pace
-        if report.cold_ms > now_ms - self.reported_ms:
+        is_cold = report.cold_ms > 0.0 and not self.reported_ms
+        if is_cold or report.cold_ms > now_ms - self.reported_ms:
             pace *= COLD_FACTOR
         own_ms = work_ms * pace
         age = min(1.0, (now_ms - self.reported_ms) / REPORT_FADES_MS)
-        busy = report.running + report.waiting + self.sent_since
+        busy = (report.running + report.waiting) * (1.0 - age)
+        busy += self.sent_since
         free = report.slots - busy
         wait_ms = report.wait_ms * (1.0 - age)
         if free <= 0:
@@ -132,25 +187,112 @@
         return cost_ms
 
 
+class Group:
+    """The targets of one service, near ones apart from far ones.
+
+    Attributes:
+      zone: this node's zone.
+      by_name: all of them.
+      near: those of the zone.
+      far: the others.
+    """
+
+    __slots__ = ("by_name", "far", "near", "zone")
+
+    def __init__(self, zone: str):
+        self.zone = zone
+        self.by_name: dict[str, Candidate] = {}
+        self.near: list[Candidate] = []
+        self.far: list[Candidate] = []
+
+    def add(self, candidate: Candidate) -> None:
+        """Takes another target."""
+        self.by_name[candidate.name] = candidate
+        is_near = candidate.zone == self.zone
+        (self.near if is_near else self.far).append(candidate)
+
+    def remove(self, name: str) -> None:
+        """Forgets a target."""
+        candidate = self.by_name.pop(name)
+        is_near = candidate.zone == self.zone
+        (self.near if is_near else self.far).remove(candidate)
+
+    def some(
+        self, is_open: Callable[[Candidate], bool], chance: random.Random
+    ) -> list[Candidate]:
+        """A few open targets at random, or all of a few."""
+        if len(self.by_name) <= COMPARED_NEAR + COMPARED_FAR:
+            return [each for each in self.by_name.values() if is_open(each)]
+        found = _sample(self.near, COMPARED_NEAR, is_open, chance)
+        lacking = COMPARED_NEAR - len(found)
+        return found + _sample(
+            self.far, COMPARED_FAR + lacking, is_open, chance
+        )
+
+
+def _sample(
+    candidates: list[Candidate],
+    count: int,
+    is_open: Callable[[Candidate], bool],
+    chance: random.Random,
+) -> list[Candidate]:
+    """So many open candidates at random, in few looks if most are open."""
+    found: list[Candidate] = []
+    places = list(range(len(candidates)))
+    while places and len(found) < count:
+        at = int(chance.random() * len(places))
+        places[at], places[-1] = places[-1], places[at]
+        candidate = candidates[places.pop()]
+        if is_open(candidate):
+            found.append(candidate)
+    return found
+
+
 def choose(
     now_ms: float,
-    candidates: list[Candidate],
-    tried: set[str],
+    group: Group,
+    is_open: Callable[[Candidate], bool],
     work_ms: float,
-    zone: str,
     chance: random.Random,
 ) -> Candidate | None:
-    """The candidate with the least expected time; None if none is open."""
+    """The target with the least expected time among a few; None without one.
+
+    Args:
+      now_ms: the time.
+      group: targets of the service.
+      is_open: whether a target can be asked, and has not been in vain.
+      work_ms: work that an average target would take.
+      chance: breaks ties, and says which few are compared.
+    """
+
+    def may_be_chosen(candidate: Candidate) -> bool:
+        report = candidate.report
+        if report.slots == 0 or report.draining:
+            return False
+        return candidate.closed_until_ms <= now_ms and is_open(candidate)
+
     best = None
     best_ms = 0.0
-    for candidate in candidates:
-        if candidate.name in tried or candidate.closed_until_ms > now_ms:
-            continue
-        if candidate.report.slots == 0 or candidate.report.draining:
-            continue
-        cost_ms = candidate.expected_ms(now_ms, work_ms, zone)
+    for candidate in group.some(may_be_chosen, chance):
+        cost_ms = candidate.expected_ms(now_ms, work_ms, group.zone)
         cost_ms *= 1.0 + 0.05 * chance.random()
         if best is None or cost_ms < best_ms:
             best = candidate
             best_ms = cost_ms
     return best
+
+
+def patience_ms(
+    now_ms: float, candidate: Candidate, objective_ms: float, asked: int
+) -> float:
+    """The wait that is accepted at a target; negative for any.
+
+    Args:
+      now_ms: the time.
+      candidate: the target.
+      objective_ms: length of the request's objective.
+      asked: targets that were asked before.
+    """
+    if candidate.is_fresh(now_ms) or asked >= IMPATIENT_MAX:
+        return -1.0
+    return PATIENCE_SHARE * objective_ms
--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -127,6 +127,10 @@
         if self.witnesses == [()]:
             # Not while witnesses are proposed: they could never catch up.
             self.solo_until_ms = now_ms + self.term_ms * (1.0 - 2.0 * DRIFT)
+        return self.asked()
+
+    def asked(self) -> set[str]:
+        """All witnesses, proposed ones too."""
         return {witness for group in self.witnesses for witness in group}
 
     def on_renewed(self, witness: str, term: int, sent_ms: float) -> None:
--- /dev/null
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -0,0 +1,149 @@
+"""When a connection to another node is opened, pinged, given up and closed.
+
+Load answered: hundreds of nodes, each of which asks targets beside most others
+now and then. A connection is kept to nodes with a duty: neighbours and
+witnesses. Any other is opened for a request, pinged while one waits for its
+outcome, and closed when it has not been used for a while.
+"""
+
+import enum
+
+PING_MS = 300.0
+"""Pings in small fleets: a lost node is noticed within a part of the
+objectives, and reports of load are fresh."""
+
+WITNESS_PING_MS = 450.0
+"""Pings to witnesses, beside the renewals (lease.RENEW_EVERY_MS), which are
+pings too; and while a request waits."""
+
+NEIGHBOUR_PING_MS = 1_000.0
+"""Pings to neighbours in large fleets."""
+
+SMALL_FLEET = 24
+"""Up to so many nodes all are neighbours of all, at the fast rate."""
+
+SILENT_MS = 900.0
+"""A connection without an answer to a ping for this long is lost."""
+
+SILENT_PINGS = 2.0
+"""The same in pings, where they are rarer."""
+
+IDLE_MS = 12_000.0
+"""A connection without a duty is closed after this: at seven requests a second
+over 190 targets, most are asked again later than that."""
+
+RETRY_MS = 150.0
+"""Between two attempts to connect: a restarted node is found soon."""
+
+RETRY_MAX_MS = 1_200.0
+"""The same to a node that has not answered many attempts."""
+
+
+class Step(enum.Enum):
+    """What to do with a connection now."""
+
+    NOTHING = enum.auto()
+    CONNECT = enum.auto()
+    PING = enum.auto()
+    GIVE_UP = enum.auto()
+    CLOSE = enum.auto()
+
+
+class Watch:
+    """State of one connection, for the decision.
+
+    Attributes:
+      duty: whether it is kept without a request.
+      ping_ms: time between pings while it has a duty.
+      connected: whether it is open.
+      connecting: whether an attempt is under way.
+      waiting: requests without an outcome.
+      used_ms: when a request last used it.
+      pinged_ms: when it was last pinged.
+      unanswered_ms: when the first ping without an answer went; 0 for none.
+      failures: attempts to connect that failed in a row.
+      retry_at_ms: no attempt before.
+    """
+
+    __slots__ = (
+        "connected",
+        "connecting",
+        "duty",
+        "failures",
+        "ping_ms",
+        "pinged_ms",
+        "retry_at_ms",
+        "unanswered_ms",
+        "used_ms",
+        "waiting",
+    )
+
+    def __init__(self, now_ms: float):
+        self.duty = False
+        self.ping_ms = PING_MS
+        self.connected = False
+        self.connecting = False
+        self.waiting = 0
+        self.used_ms = now_ms
+        self.pinged_ms = 0.0
+        self.unanswered_ms = 0.0
+        self.failures = 0
+        self.retry_at_ms = 0.0
+
+    def step(self, now_ms: float) -> Step:
+        """What to do now."""
+        wanted = self.duty or self.waiting > 0
+        if self.connecting:
+            return Step.NOTHING
+        if not self.connected:
+            if wanted and now_ms >= self.retry_at_ms:
+                return Step.CONNECT
+            if not wanted and now_ms - self.used_ms > IDLE_MS:
+                return Step.CLOSE
+            return Step.NOTHING
+        limit_ms = max(SILENT_MS, SILENT_PINGS * self.interval_ms())
+        if self.unanswered_ms and now_ms - self.unanswered_ms > limit_ms:
+            return Step.GIVE_UP
+        if not wanted:
+            if now_ms - self.used_ms > IDLE_MS:
+                return Step.CLOSE
+            return Step.NOTHING
+        if now_ms - self.pinged_ms >= self.interval_ms():
+            return Step.PING
+        return Step.NOTHING
+
+    def interval_ms(self) -> float:
+        """Time between pings now."""
+        if self.waiting > 0:
+            return min(WITNESS_PING_MS, self.ping_ms)
+        return self.ping_ms
+
+    def on_opened(self) -> None:
+        """The connection was opened."""
+        self.connecting = False
+        self.connected = True
+        self.failures = 0
+        self.unanswered_ms = 0.0
+        self.pinged_ms = 0.0
+
+    def on_failed(self, now_ms: float) -> None:
+        """An attempt to connect has failed."""
+        self.connecting = False
+        self.failures += 1
+        pause_ms = min(RETRY_MAX_MS, RETRY_MS * 1.5 ** (self.failures - 1))
+        self.retry_at_ms = now_ms + pause_ms
+
+    def on_lost(self, now_ms: float) -> None:
+        """The open connection has ended."""
+        self.connected = False
+        self.unanswered_ms = 0.0
+        self.retry_at_ms = now_ms
+
+    def on_pinged(self, now_ms: float) -> None:
+        """A ping was sent."""
+        self.pinged_ms = now_ms
+        self.unanswered_ms = self.unanswered_ms or now_ms
+
+    def on_answer(self) -> None:
+        """The other node has answered something."""
+        self.unanswered_ms = 0.0
--- a/src/auburnrock/engine/mesh/pace.py
+++ b/src/auburnrock/engine/mesh/pace.py
@@ -58,4 +58,9 @@
 
     def weight(self, slots: int) -> float:
         """Share of the keys for a target with so many slots."""
-        return slots * DEFAULT_PACE / self.settled
+        return share(slots, self.settled)
+
+
+def share(slots: int, pace: float) -> float:
+    """Share of the keys for a target with so many slots and this pace."""
+    return slots * DEFAULT_PACE / pace
--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from auburnrock.engine.mesh import choice
-from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import table as table_module
 
 Headers = list[tuple[bytes, bytes]]
@@ -18,24 +18,16 @@
     """Base of all messages."""
 
 
-class Status(msgspec.Struct, frozen=True, array_like=True):
-    """What a node says of itself on each connection whenever it changes.
+class Versions(msgspec.Struct, frozen=True, array_like=True):
+    """Which versions of the store's items a node knows.
 
     Attributes:
-      life: the target beside it; None without one.
-      service: service of the target.
       configuration: version in force there; 0 before it knows one.
-      table: version of its service's key table; 0 where there is none.
-      leaving: whether the node is about to stop.
-      reads: whether the store answers it.
+      tables: version of each key table by service.
     """
 
-    life: model.Life | None
-    service: str
     configuration: int
-    table: int
-    leaving: bool
-    reads: bool
+    tables: dict[str, int]
 
 
 class Hello(Message, tag=0):
@@ -59,15 +51,17 @@
       sent_ms: the sender's clock, returned by the pong.
       term: term of the lease to renew; 0 asks for none.
       report: load of the sender's target.
-      status: the sender; None if it is as it was last on this connection.
+      versions: None if they are as they were last on this connection.
       suspects: fingerprints that may crash targets, with their counts.
+      sum: of the sender's directory; 0 if the receiver need not compare it.
     """
 
     sent_ms: float
     term: int
     report: choice.Report
-    status: Status | None
+    versions: Versions | None
     suspects: list[tuple[str, int]]
+    sum: int = 0
 
 
 class Pong(Message, tag=2):
@@ -77,13 +71,13 @@
       sent_ms: from the ping.
       term: the renewed term; 0 if none was renewed.
       report: load of the sender's target.
-      status: the sender; None if it is as it was last on this connection.
+      versions: None if they are as they were last on this connection.
     """
 
     sent_ms: float
     term: int
     report: choice.Report
-    status: Status | None
+    versions: Versions | None
 
 
 class Run(Message, tag=3):
@@ -106,6 +100,8 @@
       body: whole body.
       mark: its fingerprint.
       sent_ms: the sender's clock; tells how long it was on the way.
+      patience_ms: wait in the queue beyond which the sender would rather ask
+        elsewhere; negative for none.
     """
 
     number: int
@@ -124,6 +120,7 @@
     body: bytes
     mark: str
     sent_ms: float
+    patience_ms: float = -1.0
 
 
 class Answered(Message, tag=4):
@@ -209,13 +206,11 @@
 
     Attributes:
       items: key, value and revision of items of the store.
-      you: what the receiver's former process said of itself last.
-      your_report: load of the receiver's target, as it said last.
+      entries: the sender's directory, with the receiver's former process.
     """
 
     items: list[tuple[str, bytes, int]]
-    you: Status | None
-    your_report: choice.Report
+    entries: list[membership.Entry]
 
 
 class Told(Message, tag=14):
@@ -240,6 +235,40 @@
     change: table_module.TableChange
 
 
+class News(Message, tag=16):
+    """Entries of the directory that have changed."""
+
+    entries: list[membership.Entry]
+
+
+class Sums(Message, tag=17):
+    """Sums of the parts of the sender's directory, which seems to differ.
+
+    The receiver answers with `News` of the parts that differ.
+    """
+
+    sums: list[int]
+
+
+class Has(Message, tag=18):
+    """The sender has a long item of the store that has changed.
+
+    Attributes:
+      key: the item.
+      revision: the store's revision of its last change.
+    """
+
+    key: str
+    revision: int
+
+
+class Want(Message, tag=19):
+    """Answers `Has`: the sender needs the item."""
+
+    key: str
+    revision: int
+
+
 Any = (
     Hello
     | Ping
@@ -257,6 +286,10 @@
     | Snapshot
     | Told
     | TableTold
+    | News
+    | Sums
+    | Has
+    | Want
 )
 
 Outcome = Answered | Refused | Lost
--- a/src/auburnrock/engine/mesh/waiting.py
+++ b/src/auburnrock/engine/mesh/waiting.py
@@ -51,6 +51,8 @@
       order: place among those that wait.
       expected_ms: expected work when it was offered.
       started_ms: when it started; 0 before.
+      patience_ms: wait beyond which its sender would rather ask elsewhere;
+        negative for none.
     """
 
     number: int
@@ -62,6 +64,7 @@
     order: tuple = ()
     expected_ms: float = 0.0
     started_ms: float = 0.0
+    patience_ms: float = -1.0
 
 
 class Start(msgspec.Struct, frozen=True):
@@ -167,6 +170,8 @@
         if len(self.running) < self.slots and not self.waiting_now:
             return self._start(now_ms, ticket)
         wait_ms = self.wait_ms(ticket)
+        if 0.0 <= ticket.patience_ms < wait_ms:
+            return self._refuse(ticket, wait_ms)
         ends_ms = now_ms + wait_ms + ticket.expected_ms
         if ends_ms > ticket.deadline_at_ms:
             return self._refuse(ticket, wait_ms)
--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -6,6 +6,7 @@
 
 from auburnrock import errors
 from auburnrock.engine.mesh import choice
+from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
@@ -96,7 +97,8 @@
       configuration: the newest one known; None before.
       tables: key table by service.
       members: records of all nodes.
-      candidates: targets by service and by the node beside them.
+      entries: what is known of all nodes, by name.
+      groups: targets by service.
       budgets: repeats by service.
       execute: has a node's target run a request.
       reachable: whether a node can be asked.
@@ -123,7 +125,8 @@
         self.configuration: model.Configuration | None = None
         self.tables: dict[str, table_module.KeyTable] = {}
         self.members: dict[str, model.Member] = {}
-        self.candidates: dict[str, dict[str, choice.Candidate]] = {}
+        self.entries: dict[str, membership.Entry] = {}
+        self.groups: dict[str, choice.Group] = {}
         self.budgets: dict[str, repeats.Budget] = {}
         self.shares = routing.Shares()
         self.usual_waits_ms: dict[str, float] = {}
@@ -138,24 +141,38 @@
     def take_members(self, members: dict[str, model.Member]) -> None:
         """Takes the records of all nodes."""
         self.members = members
-        for service, known in self.candidates.items():
-            for name in list(known):
+        for service, group in self.groups.items():
+            for name in list(group.by_name):
                 member = members.get(name)
                 if member is None or member.service != service:
-                    del known[name]
+                    group.remove(name)
         for name, member in members.items():
-            known = self.candidates.setdefault(member.service, {})
-            if name not in known:
-                known[name] = choice.Candidate(name, member.zone)
+            group = self.groups.get(member.service)
+            if group is None:
+                group = choice.Group(self.settings.zone)
+                self.groups[member.service] = group
+            if name not in group.by_name:
+                candidate = choice.Candidate(name, member.zone)
+                group.add(candidate)
+                entry = self.entries.get(name)
+                if entry is not None:
+                    candidate.take_entry(entry)
+
+    def take_entries(self, entries: list[membership.Entry]) -> None:
+        """Takes what the directory says of targets."""
+        for entry in entries:
+            group = self.groups.get(entry.service)
+            if group is not None and entry.name in group.by_name:
+                group.by_name[entry.name].take_entry(entry)
 
     def take_report(self, name: str, report: choice.Report) -> None:
         """Takes a target's load from the node beside it."""
         member = self.members.get(name)
         if member is None:
             return
-        candidate = self.candidates.get(member.service, {}).get(name)
-        if candidate is not None:
-            candidate.take_report(self.now_ms(), report)
+        group = self.groups.get(member.service)
+        if group is not None and name in group.by_name:
+            group.by_name[name].take_report(self.now_ms(), report)
 
     async def handle(self, request: http_server.Request) -> http_server.Answer:
         """Answers a caller's request."""
@@ -265,27 +282,24 @@
         if table is None:
             return None
         life = table.owner_of(attempt.head.key)
-        known = self.candidates.get(attempt.service, {})
-        return known.get(life.member)
+        group = self.groups.get(attempt.service)
+        return group.by_name.get(life.member) if group else None
 
     def _choose(self, attempt: Attempt) -> choice.Candidate | None:
         """A target for a request that any target may run."""
-        candidates = [
-            candidate
-            for name, candidate in self.candidates.get(
-                attempt.service, {}
-            ).items()
-            if self.reachable(name)
-        ]
-        now_ms = self.now_ms()
-        if len(attempt.asked) > ELSEWHERE_MAX:
+        group = self.groups.get(attempt.service)
+        if group is None or len(attempt.asked) > ELSEWHERE_MAX:
             return None
+
+        def is_open(candidate: choice.Candidate) -> bool:
+            name = candidate.name
+            return name not in attempt.asked and self.reachable(name)
+
         return choice.choose(
-            now_ms,
-            candidates,
-            attempt.asked,
+            self.now_ms(),
+            group,
+            is_open,
             attempt.route.objective_ms,
-            self.settings.zone,
             self.chance,
         )
 
@@ -313,6 +327,14 @@
             attempt.body,
             attempt.mark,
             now_ms,
+            -1.0
+            if keyed
+            else choice.patience_ms(
+                now_ms,
+                candidate,
+                attempt.route.objective_ms,
+                len(attempt.asked) - 1,
+            ),
         )
         candidate.begin()
         outcome: peering.Outcome | None = None
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -216,6 +216,7 @@
             came_ms + run.objective_left_ms,
             came_ms + run.left_ms,
             run.objective_ms,
+            patience_ms=run.patience_ms,
         )
         decision = self.room.offer(came_ms, ticket)
         if isinstance(decision, waiting.Wait):
--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -24,7 +24,7 @@
     """One end of a connection between nodes.
 
     Attributes:
-      told: what this end last said of its node.
+      told: versions that this end last named.
       sent_bytes: bytes written by kind of message, over all connections.
     """
 
@@ -40,7 +40,7 @@
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.closed = False
-        self.told: peering.Status | None = None
+        self.told: peering.Versions | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the open connection."""
--- /dev/null
+++ b/src/auburnrock/shells/mesh/link.py
@@ -0,0 +1,372 @@
+"""This node's connection to one other node, over which it asks.
+
+A request keeps its number when the connection is lost and made anew: the other
+node, if it is the same process, runs it once and answers it on the new one.
+"""
+
+import abc
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from auburnrock import errors
+from auburnrock.engine.mesh import choice
+from auburnrock.engine.mesh import linking
+from auburnrock.engine.mesh import membership
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
+from auburnrock.shells.mesh import event_log
+from auburnrock.shells.mesh import frames
+
+CONNECT_TIMEOUT_S = 0.6
+"""Nodes of a region answer in milliseconds; one lost packet costs 0.2 s."""
+
+UNREACHABLE_RETRY_MS = 200.0
+"""Return time for a request whose node cannot be reached; a restarted process
+is back within seconds, and callers have one return."""
+
+GREETING_POLL_S = 0.005
+"""Questions wait for a connection in steps of this."""
+
+
+class Owner(abc.ABC):
+    """What a link needs of the node that it belongs to.
+
+    Attributes:
+      log: takes events.
+      now_ms: the time.
+      sent_bytes: bytes written to other nodes, by kind of message.
+    """
+
+    log: event_log.EventLog
+    now_ms: Callable[[], float]
+    sent_bytes: dict[str, int]
+
+    @abc.abstractmethod
+    def hello(self, asks_for_snapshot: bool) -> peering.Hello:
+        """The first message on a connection."""
+
+    @abc.abstractmethod
+    def ping_for(self, link: "Link") -> peering.Ping:
+        """A ping with this node's load and what the other must know."""
+
+    @abc.abstractmethod
+    def snapshot(self) -> peering.Snapshot:
+        """All that this node knows."""
+
+    @abc.abstractmethod
+    def take_answer(self, link: "Link", message: peering.Message) -> None:
+        """Takes a message that is no outcome and answers no question."""
+
+    @abc.abstractmethod
+    def lose_node(self, link: "Link", refused: bool) -> None:
+        """The other node cannot be connected to."""
+
+
+class Waiting:
+    """A request without an outcome.
+
+    Attributes:
+      run: the request.
+      future: gets its outcome.
+      since_ms: when it was handed to the link.
+      sent: whether a byte of it may have left.
+    """
+
+    __slots__ = ("future", "run", "sent", "since_ms")
+
+    def __init__(
+        self, run: peering.Run, future: asyncio.Future, since_ms: float
+    ):
+        self.run = run
+        self.future = future
+        self.since_ms = since_ms
+        self.sent = False
+
+
+class Link:
+    """This node's connection to one other node.
+
+    Attributes:
+      member: the other node's record.
+      watch: when to connect, ping and close.
+      connection: the open connection; None without one.
+      greeted: whether the other end has said who it is.
+      start: the other process's start as it said last.
+      leaving: whether the other process has said that it ends.
+      waiting: requests without an outcome, by number.
+      questions: questions without an answer, by what they ask.
+      news: entries to tell the other node soon, by name.
+    """
+
+    def __init__(self, owner: Owner, member: model.Member):
+        self.owner = owner
+        self.loop = asyncio.get_running_loop()
+        self.member = member
+        self.watch = linking.Watch(owner.now_ms())
+        self.connection: frames.FrameConnection | None = None
+        self.greeted = False
+        self.start = ""
+        self.leaving = False
+        self.was_heard = False
+        self.waiting: dict[int, Waiting] = {}
+        self.questions: dict[tuple, list[asyncio.Future]] = {}
+        self.news: dict[str, membership.Entry] = {}
+        self.opening: asyncio.Task | None = None
+
+    def step(self) -> bool:
+        """Does what is due now; False if the link is no longer needed."""
+        now_ms = self.owner.now_ms()
+        self.watch.waiting = len(self.waiting) + len(self.questions)
+        step = self.watch.step(now_ms)
+        if step is linking.Step.CONNECT:
+            self.watch.connecting = True
+            self.opening = self.loop.create_task(self.connect())
+        elif step is linking.Step.PING:
+            self.ping()
+        elif step is linking.Step.GIVE_UP:
+            self.owner.log.write(
+                "peer_silent",
+                peer=self.member.name,
+                silent_ms=int(now_ms - self.watch.unanswered_ms),
+                waiting=len(self.waiting),
+            )
+            self.drop_connection()
+            self.lose_idempotent()
+        return step is not linking.Step.CLOSE
+
+    async def connect(self) -> None:
+        """Tries to connect once."""
+        host, _, port = self.member.address.rpartition(":")
+        refused = False
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self.loop.create_connection(
+                    lambda: frames.FrameConnection(
+                        self.on_message,
+                        self.on_closed,
+                        self.owner.sent_bytes,
+                    ),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            if not self.watch.failures:
+                self.owner.log.write(
+                    "peer_gone" if refused else "peer_unreachable",
+                    peer=self.member.name,
+                    reason=str(error),
+                )
+            self.watch.on_failed(self.owner.now_ms())
+            self.was_heard = False
+            if refused:
+                self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
+            else:
+                self.refuse_unsent()
+            self.owner.lose_node(self, refused)
+            return
+        self.greeted = False
+        self.connection = connection
+        self.watch.on_opened()
+        connection.send(self.owner.hello(False))
+
+    def ping(self) -> None:
+        """Sends a ping, if there is a connection."""
+        if self.connection is not None:
+            self.connection.send(self.owner.ping_for(self))
+            self.watch.on_pinged(self.owner.now_ms())
+
+    def send(self, message: peering.Message) -> None:
+        """Sends a message if the other node is there to take it."""
+        if self.connection is not None and self.greeted:
+            self.connection.send(message)
+
+    def on_closed(self, connection: frames.FrameConnection) -> None:
+        """The connection has ended."""
+        if connection is self.connection:
+            self.connection = None
+            self.leaving = False
+            self.watch.on_lost(self.owner.now_ms())
+            if self.waiting:
+                self.step()
+
+    def drop_connection(self) -> None:
+        """Ends the connection; another may be opened."""
+        if self.connection is not None:
+            connection = self.connection
+            self.connection = None
+            self.leaving = False
+            self.watch.on_lost(self.owner.now_ms())
+            connection.abort()
+
+    def on_message(
+        self, connection: frames.FrameConnection, message: peering.Message
+    ) -> None:
+        """Takes what the other node answers."""
+        if connection is not self.connection:
+            return
+        self.watch.on_answer()
+        if not self.was_heard:
+            self.was_heard = True
+            self.owner.log.write("peer_connected", peer=self.member.name)
+        if isinstance(message, peering.Hello):
+            self.on_hello(message)
+        elif isinstance(message, peering.Outcome):
+            entry = self.waiting.pop(message.number, None)
+            if entry is not None and not entry.future.done():
+                entry.future.set_result(message)
+        elif isinstance(message, peering.Bye):
+            self.leaving = True
+        elif isinstance(message, peering.SilentFor):
+            self.on_told(("silence", message.name), message.silent_ms)
+        elif isinstance(message, peering.Sealed):
+            mark = ("seal", message.name, message.revision)
+            self.on_told(mark, message.left_ms)
+        else:
+            self.owner.take_answer(self, message)
+
+    def on_hello(self, hello: peering.Hello) -> None:
+        """Sends what waits, again if it is the process that has it already."""
+        if self.start and hello.start != self.start:
+            self.lose_sent(errors.ErrorKind.OUTCOME_UNKNOWN)
+        self.leaving = self.leaving and hello.start == self.start
+        self.start = hello.start
+        self.greeted = True
+        if hello.asks_for_snapshot:
+            self.connection.send(self.owner.snapshot())
+        for entry in self.waiting.values():
+            self.send_run(entry)
+
+    def send_run(self, entry: Waiting) -> None:
+        """Sends a request with the time that it has left now."""
+        now_ms = self.owner.now_ms()
+        run = entry.run
+        gone_ms = now_ms - entry.since_ms
+        if gone_ms > 0.0:
+            run = msgspec.structs.replace(
+                run,
+                left_ms=run.left_ms - gone_ms,
+                objective_left_ms=run.objective_left_ms - gone_ms,
+                sent_ms=now_ms,
+            )
+        entry.sent = True
+        self.connection.send(run)
+
+    def lose_idempotent(self) -> None:
+        """Gives up on what can be asked elsewhere, of a silent node."""
+        for number, entry in list(self.waiting.items()):
+            if entry.run.idempotent and entry.sent:
+                del self.waiting[number]
+                _settle(entry, _lost(number, errors.ErrorKind.PEER_UNREACHABLE))
+
+    def lose_sent(self, kind: errors.ErrorKind) -> None:
+        """The process that had these requests is gone."""
+        for number, entry in list(self.waiting.items()):
+            if entry.sent:
+                del self.waiting[number]
+                _settle(entry, _lost(number, kind))
+
+    def refuse_unsent(self) -> None:
+        """The requests that no byte was sent of have not run."""
+        for number, entry in list(self.waiting.items()):
+            if not entry.sent:
+                del self.waiting[number]
+                _settle(entry, unreachable(number))
+
+    def lose_all(self, kind: errors.ErrorKind) -> None:
+        """Nobody is left who could answer what waits."""
+        self.lose_sent(kind)
+        self.refuse_unsent()
+
+    async def run(self, run: peering.Run) -> peering.Outcome:
+        """Has the other node run a request."""
+        now_ms = self.owner.now_ms()
+        known_gone = self.connection is None and self.watch.failures > 0
+        if self.leaving or (known_gone and now_ms < self.watch.retry_at_ms):
+            return unreachable(run.number)
+        entry = Waiting(run, self.loop.create_future(), now_ms)
+        self.waiting[run.number] = entry
+        self.watch.used_ms = now_ms
+        if self.connection is not None and self.greeted:
+            self.send_run(entry)
+        else:
+            self.step()
+        try:
+            return await entry.future
+        except asyncio.CancelledError:
+            if self.waiting.pop(run.number, None) and entry.sent:
+                self.send(peering.Cancel(run.number))
+            raise
+        finally:
+            self.watch.used_ms = self.owner.now_ms()
+
+    async def ask(
+        self, message: peering.Message, mark: tuple, timeout_s: float
+    ) -> float | None:
+        """Asks about a node; None without an answer in time."""
+        future = self.loop.create_future()
+        self.questions.setdefault(mark, []).append(future)
+        try:
+            async with asyncio.timeout(timeout_s):
+                if await self.is_greeted():
+                    self.connection.send(message)
+                    return await future
+        except TimeoutError:
+            pass
+        finally:
+            futures = self.questions.get(mark, [])
+            if future in futures:
+                futures.remove(future)
+            if not futures:
+                self.questions.pop(mark, None)
+        return None
+
+    async def is_greeted(self) -> bool:
+        """Connects if need be; False if the node is not there."""
+        while not (self.connection is not None and self.greeted):
+            self.step()
+            if self.connection is None and not self.watch.connecting:
+                return False
+            await asyncio.sleep(GREETING_POLL_S)
+        return True
+
+    def on_told(self, mark: tuple, answer_ms: float) -> None:
+        """Takes the answer to a question."""
+        for future in self.questions.pop(mark, []):
+            if not future.done():
+                future.set_result(answer_ms)
+
+    def usable(self) -> bool:
+        """Whether a request can be sent to the node now."""
+        return self.connection is not None and self.greeted and not self.leaving
+
+    def stop(self) -> None:
+        """Ends the connection for good."""
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+        self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
+
+
+def unreachable(number: int) -> peering.Refused:
+    """The outcome of a request that was not sent: the node is not there."""
+    return peering.Refused(
+        number,
+        errors.ErrorKind.PEER_UNREACHABLE.value,
+        UNREACHABLE_RETRY_MS,
+        False,
+        choice.NO_TARGET,
+    )
+
+
+def _lost(number: int, kind: errors.ErrorKind) -> peering.Lost:
+    return peering.Lost(number, kind.value, choice.NO_TARGET)
+
+
+def _settle(entry: Waiting, outcome: peering.Outcome) -> None:
+    if not entry.future.done():
+        entry.future.set_result(outcome)
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -50,16 +50,12 @@
         stays = own is not None and not self.holder.draining
         if stays and not self.holder.lapsed(now_ms):
             weights[own] = self.parts.weight_of_self()
-        for name, link in self.hub.links.items():
-            if name not in self.view.members or not link.alive():
+        for name, entry in self.hub.directory.entries.items():
+            if entry.service != self.settings.service or not entry.may_own():
                 continue
-            status = link.status
-            if status is None or status.service != self.settings.service:
-                continue
-            if status.life is None or link.report.draining:
-                continue
-            group = cold if link.report.cold_ms > 0 else weights
-            group[status.life] = link.report.weight
+            if name in self.view.members:
+                group = cold if entry.cold else weights
+                group[entry.life] = entry.weight()
         known = self.view.tables.get(self.settings.service)
         if known is None or not weights:
             return weights | cold
@@ -74,11 +70,18 @@
         known = self.view.tables.get(self.settings.service)
         if known is None or now_ms - self.started_ms < parts_module.SETTLE_MS:
             return
-        weights = self._weights()
-        mark = (known[0].version, tuple(weights.items()), self.holder.life)
+        mark = (
+            known[0].version,
+            self.hub.directory.changes,
+            self.parts.weight_of_self(),
+            self.holder.life,
+            self.holder.draining,
+            self.holder.lapsed(now_ms),
+        )
         if mark == self.planned:
             return
         self.planned = mark
+        weights = self._weights()
         wanted = plan.moves(known[0], weights)
         giving = dict(self.holder.giving)
         own = self.holder.life
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 import secrets
 
-from auburnrock import errors
 from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import holder as holder_module
+from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import suspects as suspects_module
@@ -17,6 +17,7 @@
 from auburnrock.shells.mesh import event_log
 from auburnrock.shells.mesh import executor
 from auburnrock.shells.mesh import http_server
+from auburnrock.shells.mesh import link as link_module
 from auburnrock.shells.mesh import metrics as metrics_module
 from auburnrock.shells.mesh import ownership
 from auburnrock.shells.mesh import parts as parts_module
@@ -66,6 +67,10 @@
 SUSPECTS_TOLD_MAX = 64
 """Suspects in one ping."""
 
+UNTOLD_MS = 1_000.0
+"""A new process says nothing of itself to all for so long, unless it knows its
+target: what peers know of its former process tells it which one that is."""
+
 
 class Node:
     """Everything that runs in one process.
@@ -108,8 +113,13 @@
             self.metrics,
             self.now_ms,
         )
+        self.started_ms = now_ms
         self.hub = peers.Hub(
-            settings.ip, secrets.token_hex(6), self.log, self.now_ms
+            settings.ip,
+            secrets.token_hex(6),
+            clock.wall_ms(),
+            self.log,
+            self.now_ms,
         )
         self.dispatcher = dispatcher.Dispatcher(
             settings,
@@ -176,10 +186,14 @@
         self.telling.configuration_version = self.configuration_version
         self.telling.is_uninformed = self.is_uninformed
         self.hub.execute = self.executor.run
-        self.hub.status = self.status
+        self.hub.versions = self.telling.versions
         self.hub.report = self.executor.report
         self.hub.suspects = self.suspects_to_tell
         self.hub.term_for = self.ownership.term_for
+        self.hub.witnesses = self.ownership.lease.asked
+        self.hub.on_directory = self.dispatcher.take_entries
+        self.hub.item = self.item
+        self.hub.on_has = self.telling.on_has
         self.hub.on_pong = self.on_pong
         self.hub.on_ping = self.on_ping
         self.hub.items = self.items
@@ -195,6 +209,7 @@
         self.ownership.parts.weight_of_self = self.weight
         self.ownership.on_lease_in_doubt = self.own_sync.list_again
         self.dispatcher.reachable = self.reachable
+        self.dispatcher.entries = self.hub.directory.entries
         self.executor.on_crash = self.ownership.news.set
 
     async def start(self) -> None:
@@ -226,6 +241,10 @@
         flushed_s = 0.0
         while True:
             self.executor.tick()
+            self.hub.tick()
+            known = not self.is_uninformed()
+            if known or self.now_ms() - self.started_ms > UNTOLD_MS:
+                self.hub.tell_own(self.own_entry())
             flushed_s += executor.OVERDUE_EVERY_S
             if flushed_s >= FLUSH_S:
                 flushed_s = 0.0
@@ -239,38 +258,32 @@
         """Has the target beside a node run a request."""
         if name == self.settings.ip:
             return await self.executor.run(run)
-        link = self.hub.links.get(name)
+        link = self.hub.link_to(name)
         if link is None:
-            return peering.Refused(
-                run.number,
-                errors.ErrorKind.PEER_UNREACHABLE.value,
-                100.0,
-                False,
-                choice.NO_TARGET,
-            )
+            return link_module.unreachable(run.number)
         return await link.run(run)
 
     def reachable(self, name: str) -> bool:
         """Whether a node can be asked now."""
-        if name == self.settings.ip:
-            return True
-        link = self.hub.links.get(name)
-        return link is not None and link.usable()
+        return name == self.settings.ip or self.hub.reachable(name)
 
     def weight(self) -> float:
         """This target's share of the keys, beside others of its service."""
         return self.executor.report().weight
 
-    def status(self) -> peering.Status:
-        """What peers may know of this node."""
-        table = self.holder.table
-        return peering.Status(
-            self.holder.life,
-            self.settings.service,
-            self.configuration_version(),
-            table.version if table else 0,
-            self.stopping,
-            self.telling.reads(),
+    def own_entry(self) -> membership.Entry:
+        """What all nodes may know of this one."""
+        executor = self.executor
+        return membership.Entry(
+            self.settings.ip,
+            service=self.settings.service,
+            life=self.holder.life,
+            slots=executor.room.slots if executor.target else 0,
+            pace=executor.pace.settled,
+            draining=executor.drain_since_ms is not None,
+            cold=executor.cold_until_ms > self.now_ms(),
+            leaving=self.stopping,
+            reads=self.telling.reads(),
         )
 
     def is_uninformed(self) -> bool:
@@ -287,6 +300,15 @@
             items.append(self.configuration_item)
         return [(item.key, item.value, item.revision) for item in items]
 
+    def item(self, key: str) -> tuple[str, bytes, int] | None:
+        """One item of the store as known here."""
+        item = self.ownership.view.raw.get(key)
+        if item is None and key == self.dialect.configuration_key:
+            item = self.configuration_item
+        if item is None or item.value is None:
+            return None
+        return item.key, item.value, item.revision
+
     def on_snapshot(self, snapshot: peering.Snapshot) -> None:
         """Takes what a peer knows, as far as it is not known here."""
         items = [coordination.Item(*item) for item in snapshot.items]
@@ -297,37 +319,41 @@
             self.ownership.take_items(
                 [item for item in items if item.key.startswith(prefix)]
             )
-        you = snapshot.you
-        report = snapshot.your_report
-        if you is None or you.life is None or report.draining:
-            return
-        self.executor.resume_target(you.life, report.slots)
+        self.hub.take_news("", snapshot.entries)
+        for entry in snapshot.entries:
+            if entry.name != self.settings.ip:
+                continue
+            if entry.life is not None and not entry.draining:
+                self.executor.resume_target(entry.life, entry.slots)
 
     def suspects_to_tell(self) -> list[tuple[str, int]]:
         """Suspects for peers, the latest last."""
         known = list(self.suspects.crashes.items())[-SUSPECTS_TOLD_MAX:]
         return [(mark, count) for mark, (count, _) in known]
 
-    def on_pong(self, link: peers.Link, pong: peering.Pong) -> None:
-        """Takes a peer's status and renewal."""
-        self.ownership.on_pong(link.member.name, pong)
-        self.take_report(link.member.name, pong.report, pong.status)
+    def on_pong(self, name: str, pong: peering.Pong) -> None:
+        """Takes a peer's load, versions and renewal."""
+        self.ownership.on_pong(name, pong)
+        self.take_report(name, pong.report, pong.versions)
 
     def on_ping(self, name: str, ping: peering.Ping) -> int:
-        """Takes a peer's status and renews its lease."""
+        """Takes a peer's load and versions, and renews its lease."""
         now_ms = self.now_ms()
         for mark, count in ping.suspects:
             self.suspects.on_told(now_ms, mark, count)
-        self.take_report(name, ping.report, ping.status)
+        self.take_report(name, ping.report, ping.versions)
         return self.ownership.on_ping(name, ping)
 
     def take_report(
-        self, name: str, report: choice.Report, status: peering.Status | None
+        self,
+        name: str,
+        report: choice.Report,
+        versions: peering.Versions | None,
     ) -> None:
         """Takes a peer's load, and what it knows if that has changed."""
         self.dispatcher.take_report(name, report)
-        if status is not None:
-            self.telling.on_status(status)
+        if versions is not None:
+            self.telling.on_versions(versions)
 
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0 before one is known."""
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -1,42 +1,23 @@
-"""Connections to other nodes: requests, pings, renewals and seals.
+"""Connections to other nodes: requests, pings, renewals, seals and news.
 
-Each node connects to each other one and asks over its own connection. A
-request keeps its number when the connection is lost and made anew: the other
-node, if it is the same process, runs it once and answers it on the new one.
+A node keeps connections to its neighbours and to its witnesses, and opens
+others for the requests that it sends; `engine.mesh.linking` decides when.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from auburnrock import errors
 from auburnrock.engine.mesh import choice
+from auburnrock.engine.mesh import linking
+from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.shells.mesh import event_log
 from auburnrock.shells.mesh import frames
-
-CONNECT_TIMEOUT_S = 0.6
-"""Nodes of a region answer in milliseconds; one lost packet costs 0.2 s."""
-
-RETRY_S = 0.15
-"""Between two attempts to connect: a restarted node is found soon."""
-
-SILENT_MS = 900.0
-"""A connection without a pong for this long is made anew."""
-
-ALIVE_MS = 1_400.0
-"""A node that was heard within this time counts as alive."""
-
-PING_MS = 300.0
-"""Pings to witnesses, and to all in small fleets; see lease.RENEW_EVERY_MS."""
-
-SLOW_PING_MS = 2_000.0
-"""Pings to nodes that are no witnesses in large fleets."""
-
-SMALL_FLEET = 24
-"""Up to so many nodes every pair pings at the fast rate."""
+from auburnrock.shells.mesh import link as link_module
 
 RESULT_KEPT_S = 3.0
 """Results wait so long for a connection to be made anew."""
@@ -51,258 +32,12 @@
 OFFSET_DRIFT_MS = 0.05
 """Clocks of two hosts drift apart by less than this between two pings."""
 
+TICK_MS = 50.0
+"""Between two looks at all connections; news waits so long for other news."""
 
-class Link:
-    """This node's connection to one other node.
-
-    Attributes:
-      member: the other node's record.
-      connection: the open connection; None without one.
-      start: the other process's start as it said last.
-      status: what it said of itself last.
-      report: load of its target, as it said last.
-      heard_ms: when anything came last.
-      waiting: requests without an outcome, with the time of sending.
-      refused: whether nobody listened at the last attempt.
-      leaving: whether the other process has said that it ends.
-    """
-
-    def __init__(self, hub: "Hub", member: model.Member):
-        self.hub = hub
-        self.member = member
-        self.connection: frames.FrameConnection | None = None
-        self.greeted = False
-        self.start = ""
-        self.status: peering.Status | None = None
-        self.report = choice.NO_TARGET
-        self.heard_ms = 0.0
-        self.opened_ms = 0.0
-        self.answered_ms = 0.0
-        self.refused = False
-        self.leaving = False
-        self.was_alive = False
-        self.waiting: dict[int, tuple[peering.Run, asyncio.Future, float]] = {}
-        self.questions: dict[tuple, list[asyncio.Future]] = {}
-        self.stopped = False
-        self.task = hub.loop.create_task(self.keep())
-
-    async def keep(self) -> None:
-        """Keeps a connection open and pinged until it is stopped."""
-        while not self.stopped:
-            if self.connection is None:
-                await self.connect()
-            if self.connection is None:
-                await asyncio.sleep(RETRY_S)
-                continue
-            self.ping()
-            await asyncio.sleep(self.hub.ping_ms(self.member.name) / 1_000)
-            silent_ms = self.hub.now_ms() - max(
-                self.answered_ms, self.opened_ms
-            )
-            limit_ms = max(SILENT_MS, 2.5 * self.hub.ping_ms(self.member.name))
-            if self.connection is not None and silent_ms > limit_ms:
-                self.hub.log.write(
-                    "peer_silent",
-                    peer=self.member.name,
-                    silent_ms=int(silent_ms),
-                    waiting=len(self.waiting),
-                )
-                self.connection.abort()
-                self.connection = None
-                self.lose_idempotent()
-
-    async def connect(self) -> None:
-        """Tries to connect once."""
-        host, _, port = self.member.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await self.hub.loop.create_connection(
-                    lambda: frames.FrameConnection(
-                        self.on_message,
-                        self.on_closed,
-                        self.hub.sent_bytes,
-                    ),
-                    host,
-                    int(port),
-                )
-        except ConnectionRefusedError:
-            if not self.refused:
-                self.refused = True
-                self.hub.log.write("peer_gone", peer=self.member.name)
-            self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
-            return
-        except (OSError, TimeoutError) as error:
-            if self.was_alive:
-                self.was_alive = False
-                self.hub.log.write(
-                    "peer_unreachable", peer=self.member.name, reason=str(error)
-                )
-            return
-        self.refused = False
-        self.greeted = False
-        self.opened_ms = self.hub.now_ms()
-        self.connection = connection
-        connection.send(self.hub.hello(False))
-
-    def ping(self) -> None:
-        """Sends a ping with this node's load."""
-        now_ms = self.hub.now_ms()
-        if self.connection is not None:
-            self.connection.send(
-                peering.Ping(
-                    now_ms,
-                    self.hub.term_for(self.member.name),
-                    self.hub.report(),
-                    self.hub.news_for(self.connection),
-                    self.hub.suspects(),
-                )
-            )
-
-    def on_closed(self, connection: frames.FrameConnection) -> None:
-        """The connection has ended."""
-        if connection is self.connection:
-            self.connection = None
-
-    def on_message(
-        self, connection: frames.FrameConnection, message: peering.Message
-    ) -> None:
-        """Takes what the other node answers."""
-        if connection is not self.connection:
-            return
-        self.heard_ms = self.hub.now_ms()
-        if not self.was_alive:
-            self.was_alive = True
-            self.hub.log.write("peer_connected", peer=self.member.name)
-        if isinstance(message, peering.Hello):
-            self.on_hello(message)
-        elif isinstance(message, peering.Pong):
-            self.answered_ms = self.heard_ms
-            self.status = message.status or self.status
-            self.report = message.report
-            self.hub.on_pong(self, message)
-        elif isinstance(message, peering.Outcome):
-            entry = self.waiting.pop(message.number, None)
-            self.answered_ms = self.heard_ms
-            if entry is not None and not entry[1].done():
-                entry[1].set_result(message)
-        elif isinstance(message, peering.Bye):
-            self.leaving = True
-        elif isinstance(message, peering.SilentFor):
-            self.on_told(("silence", message.name), message.silent_ms)
-        elif isinstance(message, peering.Sealed):
-            mark = ("seal", message.name, message.revision)
-            self.on_told(mark, message.left_ms)
-
-    def on_hello(self, hello: peering.Hello) -> None:
-        """Repeats what waits, if it is the process that has it already."""
-        if self.start and hello.start != self.start:
-            self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
-        self.leaving = self.leaving and hello.start == self.start
-        self.start = hello.start
-        self.greeted = True
-        if hello.asks_for_snapshot:
-            items = self.hub.items()
-            self.connection.send(
-                peering.Snapshot(items, self.status, self.report)
-            )
-        now_ms = self.hub.now_ms()
-        for run, _, sent_ms in self.waiting.values():
-            gone_ms = now_ms - sent_ms
-            again = msgspec.structs.replace(
-                run,
-                left_ms=run.left_ms - gone_ms,
-                objective_left_ms=run.objective_left_ms - gone_ms,
-                sent_ms=now_ms,
-            )
-            self.connection.send(again)
-        self.answered_ms = now_ms
-
-    def lose_idempotent(self) -> None:
-        """Gives up on what can be asked elsewhere, of a silent node."""
-        for number, (run, future, _) in list(self.waiting.items()):
-            if run.idempotent:
-                del self.waiting[number]
-                if not future.done():
-                    kind = errors.ErrorKind.PEER_UNREACHABLE.value
-                    future.set_result(
-                        peering.Lost(number, kind, choice.NO_TARGET)
-                    )
-
-    def lose_all(self, kind: errors.ErrorKind) -> None:
-        """The process that had these requests is gone."""
-        for number, (_, future, _) in list(self.waiting.items()):
-            if not future.done():
-                future.set_result(
-                    peering.Lost(number, kind.value, choice.NO_TARGET)
-                )
-        self.waiting.clear()
-
-    async def run(self, run: peering.Run) -> peering.Outcome:
-        """Has the other node run a request."""
-        if not self.usable():
-            return peering.Refused(
-                run.number,
-                errors.ErrorKind.PEER_UNREACHABLE.value,
-                200.0,
-                False,
-                choice.NO_TARGET,
-            )
-        future = self.hub.loop.create_future()
-        self.waiting[run.number] = (run, future, self.hub.now_ms())
-        self.connection.send(run)
-        try:
-            return await future
-        except asyncio.CancelledError:
-            if self.waiting.pop(run.number, None) and self.connection:
-                self.connection.send(peering.Cancel(run.number))
-            raise
-
-    async def ask(
-        self, message: peering.Message, mark: tuple, timeout_s: float
-    ) -> float | None:
-        """Asks about a node; None without an answer in time."""
-        if self.connection is None:
-            return None
-        future = self.hub.loop.create_future()
-        self.questions.setdefault(mark, []).append(future)
-        self.connection.send(message)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError:
-            return None
-        finally:
-            futures = self.questions.get(mark, [])
-            if future in futures:
-                futures.remove(future)
-            if not futures:
-                self.questions.pop(mark, None)
-
-    def on_told(self, mark: tuple, answer_ms: float) -> None:
-        """Takes the answer to a question."""
-        for future in self.questions.pop(mark, []):
-            if not future.done():
-                future.set_result(answer_ms)
-
-    def usable(self) -> bool:
-        """Whether a request can be sent to the node now."""
-        return self.connection is not None and self.greeted and not self.leaving
-
-    def alive(self) -> bool:
-        """Whether the node was heard lately."""
-        if self.refused:
-            return False
-        age_ms = self.hub.now_ms() - self.heard_ms
-        limit_ms = max(ALIVE_MS, 2.5 * self.hub.ping_ms(self.member.name))
-        return self.heard_ms > 0 and age_ms < limit_ms
-
-    def stop(self) -> None:
-        """Ends the connection for good."""
-        self.stopped = True
-        self.task.cancel()
-        if self.connection is not None:
-            self.connection.abort()
-        self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
+SUMS_DIFFER = 2
+"""Pings in a row with another sum before entries are compared: news that is
+still on its way makes the sums differ for a moment."""
 
 
 class Work:
@@ -317,28 +52,58 @@
         self.outcome: peering.Outcome | None = None
 
 
-class Hub:
+class Inbound:
+    """A connection that another node has opened.
+
+    Attributes:
+      name: the other node.
+      start: tells its process from earlier ones.
+      differing: pings in a row whose sum was another than here.
+    """
+
+    __slots__ = ("differing", "name", "start")
+
+    def __init__(self, name: str, start: str):
+        self.name = name
+        self.start = start
+        # What has changed before the connection was opened was not told on it.
+        self.differing = SUMS_DIFFER - 1
+
+    def origin(self) -> tuple[str, str]:
+        """The other process."""
+        return self.name, self.start
+
+
+class Hub(link_module.Owner):
     """All connections of a node to others.
 
     Attributes:
       name: this node.
       start: tells this process from earlier ones of this node.
-      links: by name of the other node.
+      directory: what is known of all nodes.
+      members: records of all nodes.
+      neighbours: nodes with which this one compares its directory.
+      links: connections that this node has opened or opens, by name.
+      inbound: connections that others have opened.
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
       offsets: least difference of clocks seen to each other process.
       execute: runs a request at the target.
-      status: this node's status for pings.
+      versions: versions of the store's items known here.
       report: load of this node's target.
       suspects: counts to tell peers.
       term_for: term to renew at a witness; 0 for other nodes.
-      on_pong: takes a pong.
+      witnesses: nodes that renew this one's lease.
       on_ping: takes a ping, and returns the term it renewed.
+      on_pong: takes a pong.
+      on_directory: entries of the directory have changed.
       items: the store's items as known here, for a snapshot.
+      item: one item of the store as known here.
       asks_for_snapshot: whether a connecting peer should tell all it knows.
       on_snapshot: takes a snapshot.
-      on_told: takes changes of the store from a reader.
-      on_table_told: takes a change of a key table from a reader.
+      on_told: takes changes of the store from a node.
+      on_table_told: takes a change of a key table from a node.
+      on_has: a neighbour has a long item; says whether it is needed here.
       on_stranger: a node whose record isn't known here has connected.
       on_silence: says how long a node has been silent.
       on_seal: seals; returns what is left, or None if it cannot tell.
@@ -348,6 +113,7 @@
         self,
         name: str,
         start: str,
+        unix_ms: int,
         log: event_log.EventLog,
         now_ms: Callable[[], float],
     ):
@@ -356,22 +122,30 @@
         self.log = log
         self.now_ms = now_ms
         self.loop = asyncio.get_running_loop()
-        self.links: dict[str, Link] = {}
-        self.inbound: dict[frames.FrameConnection, tuple[str, str]] = {}
+        self.directory = membership.Directory(name, unix_ms)
+        self.members: dict[str, model.Member] = {}
+        self.neighbours: set[str] = set()
+        self.links: dict[str, link_module.Link] = {}
+        self.inbound: dict[frames.FrameConnection, Inbound] = {}
         self.work: dict[tuple[str, str, int], Work] = {}
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
+        self.ticked_ms = 0.0
         self.execute: Callable[[peering.Run], Awaitable[peering.Outcome]]
-        self.status: Callable[[], peering.Status]
+        self.versions: Callable[[], peering.Versions]
         self.report: Callable[[], choice.Report]
         self.suspects: Callable[[], list[tuple[str, int]]]
         self.term_for: Callable[[str], int]
-        self.on_pong: Callable[[Link, peering.Pong], None]
+        self.witnesses: Callable[[], set[str]]
+        self.on_pong: Callable[[str, peering.Pong], None]
         self.on_ping: Callable[[str, peering.Ping], int]
+        self.on_directory: Callable[[list[membership.Entry]], None]
         self.items: Callable[[], list[tuple[str, bytes, int]]]
+        self.item: Callable[[str], tuple[str, bytes, int] | None]
         self.asks_for_snapshot: Callable[[], bool]
-        self.on_told: Callable[[peering.Told], None]
-        self.on_table_told: Callable[[peering.TableTold], None]
+        self.on_told: Callable[[str, peering.Told], None]
+        self.on_table_told: Callable[[str, peering.TableTold], None]
+        self.on_has: Callable[[peering.Has], bool]
         self.on_snapshot: Callable[[peering.Snapshot], None]
         self.on_stranger: Callable[[str], None]
         self.on_silence: Callable[[str], float]
@@ -394,24 +168,37 @@
         """The first message on a connection."""
         return peering.Hello(self.name, self.start, asks_for_snapshot)
 
-    def news_for(
+    def versions_for(
         self, connection: frames.FrameConnection
-    ) -> peering.Status | None:
-        """This node's status, if a connection's other end has an older one."""
-        status = self.status()
-        if status == connection.told:
+    ) -> peering.Versions | None:
+        """Versions known here, if a connection's other end has older ones."""
+        versions = self.versions()
+        if versions == connection.told:
             return None
-        connection.told = status
-        return status
+        connection.told = versions
+        return versions
+
+    def ping_for(self, link: link_module.Link) -> peering.Ping:
+        """A ping with this node's load and what the other must know."""
+        name = link.member.name
+        is_neighbour = name in self.neighbours
+        return peering.Ping(
+            self.now_ms(),
+            self.term_for(name),
+            self.report(),
+            self.versions_for(link.connection),
+            self.suspects(),
+            self.directory.sum() if is_neighbour else 0,
+        )
 
-    def ping_ms(self, name: str) -> float:
-        """Time between pings to a node."""
-        if len(self.links) <= SMALL_FLEET or self.term_for(name):
-            return PING_MS
-        return SLOW_PING_MS
+    def is_small(self) -> bool:
+        """Whether all nodes keep in touch with all others."""
+        return len(self.members) <= linking.SMALL_FLEET
 
     def set_members(self, members: dict[str, model.Member]) -> None:
-        """Keeps a connection to each other member."""
+        """Takes the records of all nodes."""
+        self.members = members
+        self.directory.set_members(members)
         for name, link in list(self.links.items()):
             member = members.get(name)
             if member is None or member.address != link.member.address:
@@ -419,24 +206,119 @@
                 del self.links[name]
             else:
                 link.member = member
-        for name, member in members.items():
-            if name != self.name and name not in self.links:
-                self.links[name] = Link(self, member)
-
-    def tell(
-        self, message: peering.Message, names: Collection[str] | None = None
-    ) -> None:
-        """Tells other nodes what has changed in the store.
-
-        Args:
-          message: the change.
-          names: whom to tell; None tells all.
-        """
+        if self.is_small():
+            self.neighbours = {name for name in members if name != self.name}
+        else:
+            self.neighbours = membership.neighbours(self.name, members)
+        self.assign_duties()
+
+    def assign_duties(self) -> None:
+        """Sees to it that duties have links, and others none for long."""
+        witnesses = self.witnesses()
+        duties = self.neighbours | (witnesses & self.members.keys())
+        for name in duties - self.links.keys():
+            self.links[name] = link_module.Link(self, self.members[name])
+        is_small = self.is_small()
         for name, link in self.links.items():
-            if names is not None and name not in names:
+            link.watch.duty = name in duties
+            link.watch.ping_ms = linking.NEIGHBOUR_PING_MS
+            if name in witnesses:
+                link.watch.ping_ms = linking.WITNESS_PING_MS
+            elif is_small:
+                link.watch.ping_ms = linking.PING_MS
+
+    def link_to(self, name: str) -> link_module.Link | None:
+        """The link to a member, made if need be."""
+        link = self.links.get(name)
+        if link is None and name in self.members and name != self.name:
+            link = link_module.Link(self, self.members[name])
+            self.links[name] = link
+        return link
+
+    def tick(self) -> None:
+        """Looks after all connections; call it often."""
+        now_ms = self.now_ms()
+        if now_ms - self.ticked_ms < TICK_MS:
+            return
+        self.ticked_ms = now_ms
+        self.assign_duties()
+        for name, link in list(self.links.items()):
+            if link.news and link.greeted and link.connection is not None:
+                link.send(peering.News(list(link.news.values())))
+                link.news.clear()
+            if not link.step():
+                link.stop()
+                del self.links[name]
+
+    def tell_own(self, entry: membership.Entry) -> None:
+        """Spreads what this node says of itself, if it has changed."""
+        told = self.directory.tell_own(entry)
+        if told is not None:
+            self.spread([told])
+
+    def spread(self, entries: list[membership.Entry], giver: str = "") -> None:
+        """Tells the neighbours entries soon, but not who has told them."""
+        for name in self.neighbours:
+            link = self.links.get(name)
+            if link is None or name == giver:
                 continue
-            if link.connection is not None and link.greeted:
-                link.connection.send(message)
+            for entry in entries:
+                link.news[entry.name] = entry
+
+    def take_news(self, giver: str, entries: list[membership.Entry]) -> None:
+        """Takes entries, and passes on what is news."""
+        link = self.links.get(giver)
+        if link is not None:
+            for entry in entries:
+                pending = link.news.get(entry.name)
+                if pending is not None and pending.rank() <= entry.rank():
+                    del link.news[entry.name]
+        news = self.directory.take(self.now_ms(), entries)
+        if news:
+            self.spread(news, giver)
+            self.on_directory(news)
+
+    def lose_node(self, link: link_module.Link, refused: bool) -> None:
+        """Calls a node silent that cannot be connected to.
+
+        Who has no duty towards it may be cut off from it alone.
+        """
+        if not (refused or link.watch.duty):
+            return
+        entry = self.directory.call_silent(self.now_ms(), link.member.name)
+        if entry is not None:
+            self.log.write(
+                "node_silent", node=entry.name, version=entry.version
+            )
+            self.spread([entry])
+            self.on_directory([entry])
+
+    def tell(self, message: peering.Message, giver: str = "") -> None:
+        """Tells the neighbours at once, but not who has told it."""
+        for name in self.neighbours:
+            link = self.links.get(name)
+            if link is not None and name != giver:
+                link.send(message)
+
+    def snapshot(self) -> peering.Snapshot:
+        """All that this node knows."""
+        entries = list(self.directory.entries.values())
+        return peering.Snapshot(self.items(), [*entries, self.directory.own])
+
+    def take_answer(
+        self, link: link_module.Link, message: peering.Message
+    ) -> None:
+        """Takes what a link's other node says beside outcomes."""
+        if isinstance(message, peering.Pong):
+            self.on_pong(link.member.name, message)
+        elif isinstance(message, peering.Sums):
+            entries = self.directory.differing(message.sums)
+            if entries:
+                link.send(peering.News(entries))
+        elif isinstance(message, peering.Want):
+            item = self.item(message.key)
+            if item is not None:
+                link.send(peering.Told([item]))
 
     def say_bye(self) -> None:
         """Tells all nodes to send no more requests here."""
@@ -448,39 +330,48 @@
         return sum(1 for work in self.work.values() if work.outcome is None)
 
     def alive(self) -> set[str]:
-        """Nodes that were heard lately."""
-        return {name for name, link in self.links.items() if link.alive()}
+        """Members that are heard, here and by their neighbours."""
+        alive = self.directory.alive()
+        for name, link in self.links.items():
+            if link.watch.duty and link.watch.failures:
+                alive.discard(name)
+        return alive
+
+    def reachable(self, name: str) -> bool:
+        """Whether a node can be asked now, as far as known."""
+        link = self.links.get(name)
+        if link is None or (link.connection is None and not link.leaving):
+            return self.directory.is_alive(name)
+        return link.connection is not None and not link.leaving
 
     def on_message(
         self, connection: frames.FrameConnection, message: peering.Message
     ) -> None:
         """Takes what another node asks."""
         if isinstance(message, peering.Hello):
-            self.inbound[connection] = (message.name, message.start)
+            self.inbound[connection] = Inbound(message.name, message.start)
             connection.send(self.hello(self.asks_for_snapshot()))
-            if message.name not in self.links:
+            if message.name not in self.members:
                 self.on_stranger(message.name)
             return
-        origin = self.inbound.get(connection)
-        if origin is None:
+        inbound = self.inbound.get(connection)
+        if inbound is None:
             connection.abort()
-        elif isinstance(message, peering.Ping):
-            self.note_offset(origin, message.sent_ms)
-            term = self.on_ping(origin[0], message)
-            connection.send(
-                peering.Pong(
-                    message.sent_ms,
-                    term,
-                    self.report(),
-                    self.news_for(connection),
-                )
-            )
+            return
+        origin = inbound.origin()
+        if isinstance(message, peering.Ping):
+            self.on_ping_message(connection, inbound, message)
+        elif isinstance(message, peering.News):
+            self.take_news(inbound.name, message.entries)
         elif isinstance(message, peering.Snapshot):
             self.on_snapshot(message)
         elif isinstance(message, peering.Told):
-            self.on_told(message)
+            self.on_told(inbound.name, message)
         elif isinstance(message, peering.TableTold):
-            self.on_table_told(message)
+            self.on_table_told(inbound.name, message)
+        elif isinstance(message, peering.Has):
+            if self.on_has(message):
+                connection.send(peering.Want(message.key, message.revision))
         elif isinstance(message, peering.Run):
             self.on_run(connection, origin, message)
         elif isinstance(message, peering.Cancel):
@@ -497,10 +388,35 @@
                     peering.Sealed(message.name, message.revision, left_ms)
                 )
 
+    def on_ping_message(
+        self,
+        connection: frames.FrameConnection,
+        inbound: Inbound,
+        ping: peering.Ping,
+    ) -> None:
+        """Answers a ping, and compares directories."""
+        self.note_offset(inbound.origin(), ping.sent_ms)
+        term = self.on_ping(inbound.name, ping)
+        connection.send(
+            peering.Pong(
+                ping.sent_ms,
+                term,
+                self.report(),
+                self.versions_for(connection),
+            )
+        )
+        if not ping.sum or ping.sum == self.directory.sum():
+            inbound.differing = 0
+            return
+        inbound.differing += 1
+        if inbound.differing >= SUMS_DIFFER:
+            inbound.differing = 0
+            connection.send(peering.Sums(self.directory.sums()))
+
     def on_closed(self, connection: frames.FrameConnection) -> None:
         """A connection of another node has ended."""
-        origin = self.inbound.pop(connection, None)
-        if origin is not None:
+        inbound = self.inbound.pop(connection, None)
+        if inbound is not None:
             for idempotent, wait_s in (
                 (True, IDEMPOTENT_ORPHAN_S),
                 (False, ORPHAN_S),
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -92,10 +92,14 @@
         if now_ms - self.started_ms < parts_module.SETTLE_MS:
             return
         alive = self.hub.alive()
+        present = self.record.witnesses
+        are_fit = set(present) <= alive
+        if are_fit and len(present) >= lease_module.WITNESSES_MAX:
+            self.unfit_since_ms = None
+            return
         records = self.view.records()
         wanted = lease_module.choose_witnesses(self.record, records, alive)
-        present = self.record.witnesses
-        if set(present) <= alive and len(present) >= len(wanted):
+        if are_fit and len(present) >= len(wanted):
             self.unfit_since_ms = None
             return
         if self.unfit_since_ms is None:
--- a/src/auburnrock/shells/mesh/sync.py
+++ b/src/auburnrock/shells/mesh/sync.py
@@ -30,6 +30,9 @@
 FAULT_PAUSE_S = 1.0
 """After a failure of this program itself."""
 
+REMOVED_KEPT = 2_048
+"""Removed keys that are remembered; about 170 hosts are replaced a day."""
+
 GLANCE_SLICE_S = 0.2
 """How soon a node notices that it has become a reader."""
 
@@ -44,6 +47,7 @@
       prefix: which items.
       revision: the view shows every change up to this one; 0 before a listing.
       known: revision of each key.
+      removed: revision of the removal of keys that are gone.
       fresh_ms: when the store answered last.
     """
 
@@ -72,6 +76,7 @@
         self.was_reader = True
         self.revision = 0
         self.known: dict[str, int] = {}
+        self.removed: dict[str, int] = {}
         self.fresh_ms = 0.0
         self.is_lost = True
         self.must_list = True
@@ -189,8 +194,11 @@
         for item in items:
             if item.revision < self.known.get(item.key, 0):
                 continue
+            if item.revision < self.removed.get(item.key, 0):
+                continue
             if item.value is None:
                 self.known.pop(item.key, None)
+                self.note_removed(item)
             elif item.revision == self.known.get(item.key):
                 continue
             else:
@@ -198,6 +206,13 @@
             news.append(item)
         self.on_items(news, self.revision)
 
+    def note_removed(self, item: coordination.Item) -> None:
+        """Remembers a removal: an earlier change may be told after it."""
+        self.removed.pop(item.key, None)
+        if len(self.removed) >= REMOVED_KEPT:
+            del self.removed[next(iter(self.removed))]
+        self.removed[item.key] = item.revision
+
     def take_told(self, items: list[coordination.Item]) -> None:
         """Takes what a reader tells."""
         self.take([item for item in items if item.key.startswith(self.prefix)])
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -1,6 +1,7 @@
 """Takeovers: sealing a silent node's lease and giving away its keys."""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 
@@ -77,25 +78,15 @@
             self.sealings.pop(name, None)
 
     async def _found_silent(self, member: model.Member) -> bool:
-        others = [
-            name
-            for name in member.witnesses
-            if name != self.name and name in self.hub.links
-        ]
-        answers = await asyncio.gather(
-            *(
-                self.hub.links[name].ask(
-                    peering.Silence(member.name),
-                    ("silence", member.name),
-                    QUESTION_S,
-                )
-                for name in others
-            )
+        answers = await self._ask(
+            member.witnesses,
+            peering.Silence(member.name),
+            ("silence", member.name),
         )
         limit_ms = lease_module.SILENCE_MS - lease_module.RENEW_EVERY_MS
         silent = 1 + sum(
             1
-            for silent_ms in answers
+            for silent_ms in answers.values()
             if silent_ms is not None and silent_ms >= limit_ms
         )
         return silent >= lease_module.majority(len(member.witnesses))
@@ -136,25 +127,26 @@
             left_ms = self.on_seal(sealing.name, sealing.revision)
             if left_ms is not None:
                 sealing.on_sealed(self.now_ms(), self.name, left_ms)
-        asked = [
-            name
-            for name in missing
-            if name != self.name and name in self.hub.links
-        ]
-        answers = await asyncio.gather(
-            *(
-                self.hub.links[name].ask(
-                    peering.Seal(sealing.name, sealing.revision),
-                    mark,
-                    QUESTION_S,
-                )
-                for name in asked
-            )
-        )
-        for name, left_ms in zip(asked, answers, strict=True):
+        seal = peering.Seal(sealing.name, sealing.revision)
+        answers = await self._ask(missing, seal, mark)
+        for name, left_ms in answers.items():
             if left_ms is not None:
                 sealing.on_sealed(self.now_ms(), name, left_ms)
 
+    async def _ask(
+        self, names: Iterable[str], message: peering.Message, mark: tuple
+    ) -> dict[str, float | None]:
+        """Asks other witnesses about a node; None without an answer."""
+        links = {
+            name: link
+            for name in names
+            if (link := self.hub.link_to(name)) is not None
+        }
+        answers = await asyncio.gather(
+            *(link.ask(message, mark, QUESTION_S) for link in links.values())
+        )
+        return dict(zip(links, answers, strict=True))
+
     def on_seal(self, name: str, revision: int) -> float | None:
         """Seals a node's terms."""
         left_ms = self.witness.on_seal(self.now_ms(), name, revision)
@@ -204,16 +196,11 @@
     ) -> dict[int, tuple[model.Life, str]]:
         """New owners of a lost node's keys."""
         weights = {}
-        for name, link in self.hub.links.items():
-            status = link.status
-            if status is None or not link.alive():
-                continue
+        for name, entry in self.hub.directory.entries.items():
             if name == member.name or name not in self.view.members:
                 continue
-            if status.service != member.service or status.life is None:
-                continue
-            if not link.report.draining:
-                weights[status.life] = link.report.weight
+            if entry.service == member.service and entry.may_own():
+                weights[entry.life] = entry.weight()
         own = self.holder.life
         is_own_service = member.service == self.settings.service
         if is_own_service and own is not None and not self.holder.draining:
@@ -232,17 +219,19 @@
 
     async def forget_lost(self, now_ms: float) -> None:
         """Removes the record of a node that owns no keys and is long lost."""
+        directory = self.hub.directory
+        if min(self.hub.alive() | {self.name}) != self.name:
+            return
         owners = set().union(
             *(table.members() for table, _ in self.view.tables.values())
         )
-        alive = sorted(self.hub.alive() | {self.name})
-        if alive[0] != self.name:
-            return
-        for name, link in list(self.hub.links.items()):
-            known = self.view.members.get(name)
-            if known is None or name in owners or known[0].witnesses:
+        for name, known in list(self.view.members.items()):
+            if name == self.name or name in owners or known[0].witnesses:
                 continue
-            if now_ms - max(link.heard_ms, self.started_ms) < FORGET_MS:
+            silent_ms = now_ms - self.started_ms
+            if name in directory.entries:
+                silent_ms = directory.silent_for_ms(now_ms, name)
+            if silent_ms < FORGET_MS:
                 continue
             result = await self.store.change(
                 {self.view.member_key(name): known[1]},
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -1,28 +1,25 @@
 """What nodes tell each other of the store: readers, changes, versions.
 
-A few nodes, the readers, watch the store and tell all others what changed.
-Peers name the versions that they know; who misses one reads the store.
+A few nodes, the readers, watch the store. What they see changed goes from
+neighbour to neighbour. Peers name the versions that they know; who misses one
+reads the store.
 """
 
 import asyncio
 from collections.abc import Callable
 
-import xxhash
-
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import spreading
 from auburnrock.shells.mesh import event_log
 from auburnrock.shells.mesh import ownership as ownership_module
 from auburnrock.shells.mesh import peers
 from auburnrock.shells.mesh import sync
 from auburnrock.shells.mesh import view
 
-TOLD_WITHIN_S = 0.2
-"""What a reader tells comes within this of what other peers say."""
-
-TOLD_BY_ONE_BYTES = 1_024
-"""Records of nodes are shorter than this, configurations longer."""
+TOLD_WITHIN_S = 0.4
+"""What neighbours pass on comes within this of what other peers say."""
 
 MEMBERS_EVERY_MS = 1_000.0
 """Between two readings of the store for nodes that connect without a known
@@ -43,6 +40,9 @@
       configuration_sync: follows the operator's items.
       configuration_version: says which configuration is in force here.
       is_uninformed: says whether this process knows less than its peers.
+      spread: what has been passed on, and what was asked for.
+      readers_known: the readers, and the state of the directory and of the
+        records that they were worked out from.
       asked_for: highest version by service, or "" for the configuration, for
         which the store was read.
       asked_for_members_ms: when it was last read for an unknown record.
@@ -67,6 +67,8 @@
         self.configuration_sync: sync.Sync
         self.configuration_version: Callable[[], int]
         self.is_uninformed: Callable[[], bool]
+        self.spread = spreading.Spread()
+        self.readers_known: tuple[tuple, list[str]] | None = None
         self.asked_for: dict[str, int] = {}
         self.asked_for_members_ms = 0.0
         self.snapshots_since_ms = 0.0
@@ -75,16 +77,21 @@
     def readers(self) -> list[str]:
         """Nodes that watch the store, as far as this one knows.
 
-        Those with slow links come last, since a reader tells all others.
+        Those with slow links come last, since a reader asks most of the store.
         """
-        own_mbps = self.settings.link_mbps
-        ranked = [(0.0 < own_mbps < model.SLOW_LINK_MBPS, self.settings.ip)]
-        for name in self.hub.alive():
-            link = self.hub.links[name]
-            status = link.status
-            if status is not None and status.reads and not status.leaving:
-                ranked.append((link.member.has_slow_link(), name))
-        return [name for _, name in sorted(ranked)[: sync.READERS]]
+        directory = self.hub.directory
+        state = (directory.changes, len(self.hub.members))
+        if self.readers_known is None or self.readers_known[0] != state:
+            own_mbps = self.settings.link_mbps
+            ranked = [(0.0 < own_mbps < model.SLOW_LINK_MBPS, self.settings.ip)]
+            for name in self.hub.alive():
+                entry = directory.entries[name]
+                if entry.reads and not entry.leaving:
+                    member = self.hub.members[name]
+                    ranked.append((member.has_slow_link(), name))
+            names = [name for _, name in sorted(ranked)[: sync.READERS]]
+            self.readers_known = (state, names)
+        return self.readers_known[1]
 
     def is_reader(self) -> bool:
         """Whether this node is one of those that watch the store."""
@@ -94,16 +101,17 @@
         """Whether the store answers this node."""
         return not (self.own_sync.is_lost or self.configuration_sync.is_lost)
 
-    def tell(self, items: list[coordination.Item]) -> None:
-        """Tells peers what has changed in the store.
+    def tell(self, items: list[coordination.Item], giver: str = "") -> None:
+        """Passes on what has changed in the store, each change once.
 
-        Every reader tells all peers what is short. What is long comes from
-        one reader to each; a peer that misses it notices by the versions that
-        others name, and reads the store.
+        Args:
+          items: as they are now.
+          giver: the neighbour that has told of them; empty for the store.
         """
         short = []
-        long = []
         for item in items:
+            if not self.spread.pass_on(item.key, item.revision):
+                continue
             try:
                 told = self.ownership.view.table_told(item)
             except view.UnreadableItemError as error:
@@ -112,39 +120,38 @@
                 )
                 continue
             if told is not None:
-                self.hub.tell(told)
-                continue
-            row = (item.key, item.value, item.revision)
-            is_long = len(item.value or b"") > TOLD_BY_ONE_BYTES
-            (long if is_long else short).append(row)
+                self.hub.tell(told, giver)
+            elif len(item.value or b"") > spreading.LONG_BYTES:
+                self.hub.tell(peering.Has(item.key, item.revision), giver)
+            else:
+                short.append((item.key, item.value, item.revision))
         if short:
-            self.hub.tell(peering.Told(short))
-        if long:
-            self.hub.tell(peering.Told(long), self.told_by_this_reader())
-
-    def told_by_this_reader(self) -> list[str]:
-        """Peers to which this reader, and no other, tells what is long."""
-        readers = self.readers()
-        if self.settings.ip not in readers:
-            return list(self.hub.links)
-        place = readers.index(self.settings.ip)
-        return [
-            name
-            for name in self.hub.links
-            if xxhash.xxh32_intdigest(name.encode()) % len(readers) == place
-        ]
-
-    def on_told(self, told: peering.Told) -> None:
-        """Takes changes of the store from a reader."""
+            self.hub.tell(peering.Told(short), giver)
+
+    def on_told(self, giver: str, told: peering.Told) -> None:
+        """Takes changes of the store from a neighbour."""
         items = [coordination.Item(*row) for row in told.items]
+        self.tell(items, giver)
         self.own_sync.take_told(items)
         self.configuration_sync.take_told(items)
 
-    def on_table_told(self, told: peering.TableTold) -> None:
-        """Takes a change of a key table from a reader."""
+    def on_has(self, has: peering.Has) -> bool:
+        """Whether an item that a neighbour has is needed here."""
+        known = max(
+            self.own_sync.known.get(has.key, 0),
+            self.configuration_sync.known.get(has.key, 0),
+        )
+        if known >= has.revision:
+            return False
+        return self.spread.want(self.now_ms(), has.key, has.revision)
+
+    def on_table_told(self, giver: str, told: peering.TableTold) -> None:
+        """Takes a change of a key table from a neighbour."""
+        key = self.ownership.view.table_key(told.service)
+        if self.spread.pass_on(key, told.revision):
+            self.hub.tell(told, giver)
         table = self.ownership.view.told_table(told)
         if table is not None:
-            key = self.ownership.view.table_key(told.service)
             item = coordination.Item(key, view.encode(table), told.revision)
             # Adopted first, so that the item need not be decoded.
             self.ownership.adopt_table(told.service, table, told.revision)
@@ -173,7 +180,7 @@
     def ask_for_member(self, name: str) -> None:
         """Reads the store if a connected node's record is not known."""
         now_ms = self.now_ms()
-        if name in self.hub.links or self.is_uninformed():
+        if name in self.hub.members or self.is_uninformed():
             return
         if now_ms - self.asked_for_members_ms >= MEMBERS_EVERY_MS:
             self.asked_for_members_ms = now_ms
@@ -204,9 +211,20 @@
             self.asked_for[""] = version
             self.configuration_sync.list_again()
 
-    def on_status(self, status: peering.Status) -> None:
+    def on_versions(self, versions: peering.Versions) -> None:
         """Takes which versions a peer knows."""
-        if status.configuration > self.configuration_version():
-            self.later(self.ask_for_configuration, status.configuration)
-        if status.table > self.table_version(status.service):
-            self.later(self.ask_for_table, status.service, status.table)
+        if versions.configuration > self.configuration_version():
+            self.later(self.ask_for_configuration, versions.configuration)
+        for service, version in versions.tables.items():
+            if version > self.table_version(service):
+                self.later(self.ask_for_table, service, version)
+
+    def versions(self) -> peering.Versions:
+        """Versions of the store's items known here."""
+        return peering.Versions(
+            self.configuration_version(),
+            {
+                service: table.version
+                for service, (table, _) in self.ownership.view.tables.items()
+            },
+        )
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -210,11 +210,11 @@
         if rows < plan.first_count(len(portals)):
             return False
         for host in self.hosts:
-            known = host.node.dispatcher.candidates
+            known = host.node.dispatcher.groups
             seen = sum(
                 1
-                for candidates in known.values()
-                for candidate in candidates.values()
+                for group in known.values()
+                for candidate in group.by_name.values()
                 if candidate.report.slots
             )
             if seen < len(self.hosts):
--- a/tests/cover/test_mesh_changes.py
+++ b/tests/cover/test_mesh_changes.py
@@ -149,7 +149,7 @@
     fleet.store.switches.busy = True
     await restarted.start_node()
     row = (f"auburnrock/m/{fleet.hosts[0].ip}", record, 99)
-    restarted.node.telling.on_told(peering.Told([row]))
+    restarted.node.telling.on_told("", peering.Told([row]))
     assert fleet.hosts[0].ip in restarted.node.ownership.view.members
     assert not restarted.node.ownership.witness.ready
 
--- a/tests/cover/test_mesh_choice.py
+++ b/tests/cover/test_mesh_choice.py
@@ -3,6 +3,7 @@
 import random
 
 from auburnrock.engine.mesh import choice
+from auburnrock.engine.mesh import membership
 
 WORK_MS = 300.0
 
@@ -24,8 +25,15 @@
 
 
 def chosen(*candidates, tried=()):
+    group = choice.Group("near")
+    for each in candidates:
+        group.add(each)
     found = choice.choose(
-        1.0, list(candidates), set(tried), WORK_MS, "near", random.Random(7)
+        1.0,
+        group,
+        lambda each: each.name not in tried,
+        WORK_MS,
+        random.Random(7),
     )
     return found.name if found else None
 
@@ -65,3 +73,108 @@
     for _ in range(9):
         busy.begin()
     assert chosen(busy, candidate("b", "near", running=3)) == "b"
+
+
+BLIND_NODES = 194
+TARGETS = 51
+SLOTS = 6
+
+
+def blind_fleet(seed):
+    """Requests of many nodes at 80% of the slots; busiest target over mean."""
+    chance = random.Random(seed)
+    free_at = {f"t{n}": [0.0] * SLOTS for n in range(TARGETS)}
+    groups = []
+    for node in range(BLIND_NODES):
+        group = choice.Group(f"z{node % 5}")
+        for n in range(TARGETS):
+            each = choice.Candidate(f"t{n}", f"z{n % 5}")
+            each.take_entry(
+                membership.Entry(each.name, slots=SLOTS, service="s")
+            )
+            group.add(each)
+        groups.append(group)
+    served = dict.fromkeys(free_at, 0)
+    waits_ms = []
+    step_ms = WORK_MS / (0.8 * TARGETS * SLOTS)
+    for number in range(12_000):
+        now_ms = 1_000.0 + number * step_ms
+        group = groups[int(chance.random() * BLIND_NODES)]
+        asked = set()
+        while True:
+            found = choice.choose(
+                now_ms,
+                group,
+                lambda each, asked=asked: each.name not in asked,
+                2 * WORK_MS,
+                chance,
+            )
+            slots = free_at[found.name]
+            wait_ms = max(0.0, min(slots) - now_ms)
+            patience_ms = choice.patience_ms(
+                now_ms, found, 2 * WORK_MS, len(asked)
+            )
+            running = sum(1 for until_ms in slots if until_ms > now_ms)
+            found.take_report(
+                now_ms,
+                choice.Report(SLOTS, running, 0, wait_ms, 0.5, False, 0.0, 6.0),
+            )
+            if not 0.0 <= patience_ms < wait_ms:
+                break
+            asked.add(found.name)
+        slot = slots.index(min(slots))
+        slots[slot] = now_ms + wait_ms + chance.expovariate(1 / WORK_MS)
+        served[found.name] += 1
+        waits_ms.append(wait_ms)
+    mean = sum(served.values()) / len(served)
+    long = sum(1 for wait_ms in waits_ms if wait_ms > WORK_MS / 2)
+    return max(served.values()) / mean, long / len(waits_ms)
+
+
+def test_among_many_nodes_that_know_little_work_seldom_waits():
+    """Without a bound on the wait, a fifth of it waited for half its time."""
+    busiest, long = blind_fleet(3)
+    assert busiest < 1.5
+    assert long < 0.02
+
+
+def test_the_targets_of_a_large_service_are_not_all_compared():
+    group = choice.Group("near")
+    for n in range(200):
+        each = choice.Candidate(f"t{n}", "near" if n % 5 == 0 else "far")
+        each.take_entry(membership.Entry(each.name, slots=SLOTS))
+        group.add(each)
+    looked_at = []
+    choice.choose(
+        1.0,
+        group,
+        lambda each: looked_at.append(each.name) or True,
+        WORK_MS,
+        random.Random(1),
+    )
+    assert len(looked_at) <= choice.COMPARED_NEAR + choice.COMPARED_FAR
+
+
+def test_a_target_that_has_just_come_gets_its_part():
+    """What is compared is drawn anew for each request, so nobody is starved."""
+    group = choice.Group("near")
+    for n in range(60):
+        each = choice.Candidate(f"t{n}", f"z{n % 5}")
+        each.take_entry(membership.Entry(each.name, slots=SLOTS))
+        group.add(each)
+    new = choice.Candidate("new", "z1")
+    new.take_entry(membership.Entry("new", slots=SLOTS))
+    group.add(new)
+    chance = random.Random(2)
+    names = [
+        choice.choose(1.0, group, lambda each: True, WORK_MS, chance).name
+        for _ in range(3_000)
+    ]
+    assert names.count("new") > 20
+
+
+def test_a_free_target_is_asked_first_to_take_work_without_a_wait():
+    known = candidate("a", "near")
+    assert choice.patience_ms(100.0, known, 500.0, 0) < 0.0
+    assert choice.patience_ms(5_000.0, known, 500.0, 0) >= 0.0
+    assert choice.patience_ms(5_000.0, known, 500.0, 2) < 0.0
--- /dev/null
+++ b/tests/cover/test_mesh_linking.py
@@ -0,0 +1,70 @@
+"""When connections between nodes are opened, pinged, given up and closed."""
+
+from auburnrock.engine.mesh import linking
+
+Step = linking.Step
+
+
+def opened(now_ms=0.0, *, duty=False):
+    watch = linking.Watch(now_ms)
+    watch.duty = duty
+    watch.on_opened()
+    return watch
+
+
+def test_a_connection_is_opened_for_a_duty_or_a_request_only():
+    watch = linking.Watch(0.0)
+    assert watch.step(1.0) is Step.NOTHING
+    watch.waiting = 1
+    assert watch.step(1.0) is Step.CONNECT
+    watch.waiting = 0
+    watch.duty = True
+    assert watch.step(1.0) is Step.CONNECT
+
+
+def test_an_idle_connection_costs_no_ping_and_is_closed():
+    watch = opened()
+    assert watch.step(5_000.0) is Step.NOTHING
+    assert watch.step(linking.IDLE_MS + 1.0) is Step.CLOSE
+
+
+def test_a_connection_with_a_duty_is_kept_and_pinged():
+    watch = opened(duty=True)
+    watch.ping_ms = linking.NEIGHBOUR_PING_MS
+    assert watch.step(1.0) is Step.PING
+    watch.on_pinged(1.0)
+    watch.on_answer()
+    assert watch.step(900.0) is Step.NOTHING
+    assert watch.step(1_100.0) is Step.PING
+    watch.on_answer()
+    assert watch.step(10 * linking.IDLE_MS) is Step.PING
+
+
+def test_a_connection_that_went_silent_is_given_up_while_a_request_waits():
+    watch = opened()
+    watch.waiting = 1
+    watch.used_ms = 8_000.0
+    # It was idle for long, which says nothing against it.
+    assert watch.step(8_000.0) is Step.PING
+    watch.on_pinged(8_000.0)
+    assert watch.step(8_000.0 + linking.SILENT_MS) is Step.PING
+    assert watch.step(8_001.0 + linking.SILENT_MS) is Step.GIVE_UP
+
+
+def test_an_answer_proves_the_connection():
+    watch = opened(duty=True)
+    watch.on_pinged(1.0)
+    watch.on_answer()
+    watch.on_pinged(800.0)
+    assert watch.step(1_000.0) is not Step.GIVE_UP
+
+
+def test_attempts_to_reach_a_lost_node_grow_rare():
+    watch = linking.Watch(0.0)
+    watch.duty = True
+    for _ in range(8):
+        watch.on_failed(0.0)
+    assert watch.retry_at_ms == linking.RETRY_MAX_MS
+    watch.on_opened()
+    watch.on_lost(5.0)
+    assert watch.step(5.0) is Step.CONNECT
--- /dev/null
+++ b/tests/cover/test_mesh_membership.py
@@ -0,0 +1,175 @@
+"""Neighbours, directories, and what they pass on, at hundreds of nodes."""
+
+import random
+
+import msgspec
+import pytest
+
+from auburnrock.engine.mesh import membership
+from auburnrock.engine.mesh import spreading
+from tests.common import mesh_neighbours
+
+FRAMES_MAX = 16
+"""No node sends more frames for one change, whatever the size of the fleet."""
+
+
+def reached(records, without=frozenset()):
+    """Nodes that the first one reaches over neighbours."""
+    open_names = [name for name in records if name not in without]
+    links = {
+        name: membership.neighbours(name, records) - set(without)
+        for name in open_names
+    }
+    seen = {open_names[0]}
+    edge = [open_names[0]]
+    while edge:
+        edge = [o for name in edge for o in links[name] if o not in seen]
+        seen.update(edge)
+    return seen, set(open_names)
+
+
+@pytest.mark.parametrize("count", [8, 30, 194, 1_200])
+def test_the_number_of_neighbours_does_not_grow_with_the_fleet(count):
+    records = mesh_neighbours.members(count)
+    for name in list(records)[:40]:
+        found = membership.neighbours(name, records)
+        assert 2 <= len(found) <= 2 * membership.RINGS
+        for other in found:
+            assert name in membership.neighbours(other, records)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_fleet_that_loses_a_tenth_stays_in_one_piece(seed):
+    records = mesh_neighbours.members(194)
+    lost = random.Random(seed).sample(sorted(records), 19)
+    seen, present = reached(records, frozenset(lost))
+    assert seen == present
+
+
+def told_everywhere(fleet, name, check):
+    def is_told():
+        return all(
+            check(peer.directory.entries[name])
+            for peer in fleet.peers.values()
+            if peer.name not in fleet.stopped and peer.name != name
+        )
+
+    return is_told
+
+
+def test_a_change_reaches_194_nodes_at_once_and_nobody_sends_many_frames():
+    fleet = mesh_neighbours.Fleet(194, 1)
+    fleet.start_all()
+    first = fleet.peers["10.0.0.0"]
+    sent = {peer.name: peer.sent for peer in fleet.peers.values()}
+    entry = msgspec.structs.replace(first.directory.own, draining=True)
+    fleet.tell(first, [first.directory.tell_own(entry)], "")
+    took_ms = fleet.time_until(
+        told_everywhere(fleet, first.name, lambda each: each.draining)
+    )
+    assert took_ms < 500.0
+    pings = 2 * membership.RINGS
+    for peer in fleet.peers.values():
+        assert peer.sent - sent[peer.name] - pings <= FRAMES_MAX
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_change_reaches_all_that_run_though_messages_and_nodes_are_lost(seed):
+    fleet = mesh_neighbours.Fleet(194, seed)
+    fleet.start_all()
+    names = sorted(fleet.peers)
+    fleet.stopped = set(fleet.chance.sample(names[1:], 19))
+    fleet.loss = 0.3
+    first = fleet.peers[names[0]]
+    entry = msgspec.structs.replace(first.directory.own, slots=9)
+    fleet.tell(first, [first.directory.tell_own(entry)], "")
+    is_told = told_everywhere(fleet, first.name, lambda each: each.slots == 9)
+    assert fleet.time_until(is_told) < 3_000.0
+    # Those that stood still hear of it once they go on.
+    fleet.stopped = set()
+    assert fleet.time_until(is_told) < 5_000.0
+
+
+def test_a_silent_node_is_known_to_all_until_it_contradicts():
+    fleet = mesh_neighbours.Fleet(194, 4)
+    fleet.start_all()
+    name = "10.0.0.7"
+    fleet.stopped = {name}
+    witness = fleet.peers[sorted(fleet.peers[name].neighbours)[0]]
+    said = witness.directory.call_silent(fleet.now_ms, name)
+    fleet.tell(witness, [said], "")
+    silent = told_everywhere(fleet, name, lambda each: each.silent)
+    assert fleet.time_until(silent) < 500.0
+    assert name not in witness.directory.alive()
+    fleet.stopped = set()
+    heard = told_everywhere(fleet, name, lambda each: not each.silent)
+    assert fleet.time_until(heard) < 3_000.0
+    # It may have been the witness's own link: it does not say so at once again.
+    assert witness.directory.call_silent(fleet.now_ms, name) is None
+    later_ms = fleet.now_ms + membership.SILENT_AGAIN_MS + 1.0
+    assert witness.directory.call_silent(later_ms, name) is not None
+
+
+def test_a_late_message_does_not_undo_a_later_one():
+    directory = membership.Directory("a", 5)
+    directory.set_members({"a", "b"})
+    leaving = membership.Entry("b", 8, leaving=True)
+    assert directory.take(0.0, [leaving]) == [leaving]
+    assert directory.take(0.0, [membership.Entry("b", 7)]) == []
+    assert directory.entries["b"].leaving
+
+
+def test_a_process_whose_clock_went_back_outranks_its_former_one():
+    directory = membership.Directory("a", 1_000)
+    directory.set_members({"a", "b"})
+    former = membership.Entry("a", 9_000, slots=9)
+    told = directory.take(0.0, [former])
+    assert [entry.version for entry in told] == [9_001]
+    entry = directory.tell_own(membership.Entry("a", slots=6))
+    assert entry.rank() > former.rank()
+
+
+def test_what_a_node_says_twice_is_spread_once():
+    directory = membership.Directory("a", 1)
+    assert directory.tell_own(membership.Entry("a", slots=6)) is not None
+    assert directory.tell_own(membership.Entry("a", slots=6)) is None
+
+
+def test_entries_of_a_removed_node_are_dropped():
+    directory = membership.Directory("a", 1)
+    directory.set_members({"a", "b"})
+    directory.take(0.0, [membership.Entry("b", 3)])
+    directory.set_members({"a"})
+    assert directory.alive() == set()
+    assert "b" not in directory.entries
+
+
+def test_a_long_item_is_sent_to_each_node_about_once():
+    fleet = mesh_neighbours.Fleet(194, 9)
+    fleet.start_all()
+    fleet.announce(fleet.peers["10.0.0.0"], "op/config", 7)
+    took_ms = fleet.time_until(
+        lambda: all(
+            peer.items.get("op/config") == 7 for peer in fleet.peers.values()
+        )
+    )
+    assert took_ms < 500.0
+    handed = [peer.bytes_long for peer in fleet.peers.values()]
+    assert sum(handed) == 193
+    assert max(handed) <= 2 * membership.RINGS
+
+
+def test_another_neighbour_is_asked_for_an_item_that_did_not_come():
+    spread = spreading.Spread()
+    assert spread.want(0.0, "k", 7)
+    assert not spread.want(100.0, "k", 7)
+    assert spread.want(100.0, "k", 8)
+    assert spread.want(101.0 + spreading.WANT_AGAIN_MS, "k", 8)
+
+
+def test_a_change_is_passed_on_once_and_an_earlier_one_never_after_it():
+    spread = spreading.Spread()
+    assert spread.pass_on("k", 5)
+    assert not spread.pass_on("k", 5)
+    assert not spread.pass_on("k", 4)
+    assert spread.pass_on("k", 6)
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -9,6 +9,7 @@
 import pytest_asyncio
 
 from auburnrock.engine.mesh import peering
+from auburnrock.shells.mesh import peers
 from auburnrock_standins import mesh_target
 from tests.common import mesh_fleet
 
@@ -28,8 +29,8 @@
     for host in shared_fleet.hosts:
         host.target.behaviour = mesh_target.Behaviour()
         host.target.runs.clear()
-        for known in host.node.dispatcher.candidates.values():
-            for candidate in known.values():
+        for group in host.node.dispatcher.groups.values():
+            for candidate in group.by_name.values():
                 candidate.failures = 0.0
         host.node.dispatcher.budgets.clear()
         host.node.dispatcher.usual_waits_ms.clear()
@@ -169,7 +170,7 @@
         *(b"GET", b"/check/x", [], b"", "mark", 0.0),
     )
     sender = Sender()
-    hub.inbound[sender] = ("x", "start")
+    hub.inbound[sender] = peers.Inbound("x", "start")
     hub.on_message(sender, run)
     hub.on_message(sender, peering.Cancel(99))
     await asyncio.sleep(0.05)
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -25,10 +25,13 @@
     told = []
     changes = []
     take, take_change = last.hub.on_told, last.hub.on_table_told
-    last.hub.on_told = lambda message: (told.append(message), take(message))
-    last.hub.on_table_told = lambda message: (
+    last.hub.on_told = lambda giver, message: (
+        told.append(message),
+        take(giver, message),
+    )
+    last.hub.on_table_told = lambda giver, message: (
         changes.append(message),
-        take_change(message),
+        take_change(giver, message),
     )
     before = last.telling.table_version("portal")
     calls = last.store.calls
@@ -46,12 +49,12 @@
     take = last.hub.on_table_told
     missed = []
 
-    def miss_first(message: peering.TableTold) -> None:
+    def miss_first(giver: str, message: peering.TableTold) -> None:
         first = missed[0].revision if missed else message.revision
         if message.revision == first:
             missed.append(message)
         else:
-            take(message)
+            take(giver, message)
 
     last.hub.on_table_told = miss_first
     before = last.telling.table_version("portal")
@@ -60,14 +63,14 @@
     assert missed
 
 
-async def test_one_reader_tells_each_node_what_is_long(fleet):
+async def test_each_node_is_sent_once_what_is_long(fleet):
     rows = []
     for host in fleet.hosts:
         take = host.node.hub.on_told
 
-        def note(message, take=take, name=host.ip):
+        def note(giver, message, take=take, name=host.ip):
             rows.extend((name, row[0]) for row in message.items)
-            take(message)
+            take(giver, message)
 
         host.node.hub.on_told = note
     hosts = [f"{number}.example" for number in range(100)]
@@ -89,7 +92,7 @@
     fleet.hosts.append(joined)
     await joined.start_node()
     await joined.start_target()
-    await fleet.until(lambda: joined.ip in last.hub.links, 3.0)
+    await fleet.until(lambda: joined.ip in last.hub.members, 3.0)
 
 
 async def test_a_node_whose_lease_is_lost_reads_its_record(fleet):
--- a/tests/cover/test_mesh_waiting.py
+++ b/tests/cover/test_mesh_waiting.py
@@ -133,3 +133,15 @@
 def test_below_the_capacity_nothing_is_refused():
     in_time, late, number = replay(waiting.WaitingRoom(18), 100, 120)
     assert in_time + late >= number - 18
+
+
+def test_work_with_little_patience_is_refused_at_once_where_it_would_wait():
+    """Its sender asks elsewhere; refused late, it would have waited in vain."""
+    room = waiting.WaitingRoom(1)
+    free = mesh.ticket(1, 0)
+    free.patience_ms = 5.0
+    assert isinstance(room.offer(0, free), waiting.Start)
+    impatient = mesh.ticket(2, 0)
+    impatient.patience_ms = 5.0
+    assert isinstance(room.offer(0, impatient), waiting.Refuse)
+    assert isinstance(room.offer(0, mesh.ticket(3, 0)), waiting.Wait)
