--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 
 PING_MS = 300.0
 """Pings in small fleets: a lost node is noticed within a part of the
@@ -59,7 +60,7 @@
       connecting: whether an attempt is under way.
       waiting: requests without an outcome.
       used_ms: when a request last used it.
-      pinged_ms: when it was last pinged.
+      pinged_ms: when it was last pinged on this connection.
       unanswered_ms: when the first ping without an answer went; 0 for none.
       failures: attempts to connect that failed in a row.
       retry_at_ms: no attempt before.
@@ -85,7 +86,7 @@
         self.connecting = False
         self.waiting = 0
         self.used_ms = now_ms
-        self.pinged_ms = 0.0
+        self.pinged_ms = -math.inf
         self.unanswered_ms = 0.0
         self.failures = 0
         self.retry_at_ms = 0.0
@@ -124,7 +125,7 @@
         self.connected = True
         self.failures = 0
         self.unanswered_ms = 0.0
-        self.pinged_ms = 0.0
+        self.pinged_ms = -math.inf
 
     def on_failed(self, now_ms: float) -> None:
         """An attempt to connect has failed."""
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -52,6 +52,9 @@
 FLUSH_S = 0.1
 """Log lines are written this late at most."""
 
+IDLE_TICK_S = 0.05
+"""Between two ticks while no request waits; each tick wakes the process."""
+
 STOP_LINGER_S = 2.3
 """Callers are told within two questions, a second apart, to go elsewhere."""
 
@@ -245,14 +248,17 @@
             known = not self.is_uninformed()
             if known or self.now_ms() - self.started_ms > UNTOLD_MS:
                 self.hub.tell_own(self.own_entry())
-            flushed_s += executor.OVERDUE_EVERY_S
+            pause_s = IDLE_TICK_S
+            if self.executor.room.waiting_now:
+                pause_s = executor.OVERDUE_EVERY_S
+            flushed_s += pause_s
             if flushed_s >= FLUSH_S:
                 flushed_s = 0.0
                 self.log.flush()
                 self.dispatcher.take_report(
                     self.settings.ip, self.executor.report()
                 )
-            await asyncio.sleep(executor.OVERDUE_EVERY_S)
+            await asyncio.sleep(pause_s)
 
     async def execute(self, name: str, run: peering.Run) -> peering.Outcome:
         """Has the target beside a node run a request."""
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -96,6 +96,7 @@
                 self._on_table(name, item)
         if members_changed:
             records = self.view.records()
+            self.takeover.take_members(records)
             self.hub.set_members(records)
             self.parts.on_members(records)
 
@@ -159,7 +160,11 @@
             except Exception as error:
                 # Without its ticks this node would renew nobody.
                 self.log.write("fault", where="tick", error=repr(error))
-            await asyncio.sleep(parts_module.TICK_S)
+            await asyncio.sleep(self.pause_s())
+
+    def pause_s(self) -> float:
+        """Time between two ticks."""
+        return parts_module.TICK_S if self.keyed else parts_module.IDLE_TICK_S
 
     def tick(self) -> None:
         """One round of decisions that need no answer of the store."""
@@ -232,7 +237,7 @@
             except Exception as error:
                 self.log.write("fault", where="write", error=repr(error))
                 self.next_write_ms = self.now_ms() + parts_module.WRITE_PAUSE_MS
-            await asyncio.sleep(parts_module.TICK_S)
+            await asyncio.sleep(self.pause_s())
 
     async def _write(self) -> None:
         now_ms = self.now_ms()
--- a/src/auburnrock/shells/mesh/parts.py
+++ b/src/auburnrock/shells/mesh/parts.py
@@ -16,6 +16,10 @@
 TICK_S = 0.05
 """A move goes on within this; the work of a tick is small."""
 
+IDLE_TICK_S = 0.2
+"""The same for a node whose service isn't divided by key; what it does for
+others as a witness has bounds of seconds."""
+
 SETTLE_MS = 1_200.0
 """After a start, other nodes of the same start have registered by then."""
 
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -87,6 +87,7 @@
       inbound: connections that others have opened.
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
+      assigned: witnesses for which duties were last assigned.
       offsets: least difference of clocks seen to each other process.
       execute: runs a request at the target.
       versions: versions of the store's items known here.
@@ -131,6 +132,7 @@
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
+        self.assigned: set[str] | None = None
         self.execute: Callable[[peering.Run], Awaitable[peering.Outcome]]
         self.versions: Callable[[], peering.Versions]
         self.report: Callable[[], choice.Report]
@@ -210,11 +212,15 @@
             self.neighbours = {name for name in members if name != self.name}
         else:
             self.neighbours = membership.neighbours(self.name, members)
+        self.assigned = None
         self.assign_duties()
 
     def assign_duties(self) -> None:
         """Sees to it that duties have links, and others none for long."""
         witnesses = self.witnesses()
+        if witnesses == self.assigned:
+            return
+        self.assigned = witnesses
         duties = self.neighbours | (witnesses & self.members.keys())
         for name in duties - self.links.keys():
             self.links[name] = link_module.Link(self, self.members[name])
@@ -331,11 +337,14 @@
 
     def alive(self) -> set[str]:
         """Members that are heard, here and by their neighbours."""
-        alive = self.directory.alive()
-        for name, link in self.links.items():
-            if link.watch.duty and link.watch.failures:
-                alive.discard(name)
-        return alive
+        return set(filter(self.is_heard, self.directory.alive()))
+
+    def is_heard(self, name: str) -> bool:
+        """Whether a node is heard, here and by its neighbours."""
+        link = self.links.get(name)
+        if link is not None and link.watch.duty and link.watch.failures:
+            return False
+        return self.directory.is_alive(name)
 
     def reachable(self, name: str) -> bool:
         """Whether a node can be asked now, as far as known."""
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -91,13 +91,13 @@
         """Replaces witnesses that are silent, or adds missing ones."""
         if now_ms - self.started_ms < parts_module.SETTLE_MS:
             return
-        alive = self.hub.alive()
         present = self.record.witnesses
-        are_fit = set(present) <= alive
+        are_fit = all(map(self.hub.is_heard, present))
         if are_fit and len(present) >= lease_module.WITNESSES_MAX:
             self.unfit_since_ms = None
             return
         records = self.view.records()
+        alive = self.hub.alive()
         wanted = lease_module.choose_witnesses(self.record, records, alive)
         if are_fit and len(present) >= len(wanted):
             self.unfit_since_ms = None
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -19,6 +19,9 @@
 """A node that owns nothing and was lost for this long is forgotten; one that
 lives registers anew."""
 
+FORGET_EVERY_MS = 2_000.0
+"""Between two looks for records to remove."""
+
 RANK_DELAY_MS = 400.0
 """The next witness leads a takeover so much later."""
 
@@ -37,27 +40,36 @@
 
     Attributes:
       sealings: takeovers that it leads, by name of the lost node.
+      wards: nodes whose witness it is, and its place among their witnesses.
+      forgot_ms: when it last looked for records to remove.
     """
 
     def __init__(self, parts: parts_module.Parts):
         super().__init__(parts)
         self.sealings: dict[str, asyncio.Task] = {}
+        self.wards: dict[str, int] = {}
+        self.forgot_ms = self.started_ms
 
     def stop(self) -> None:
         """Ends the takeovers that it leads."""
         for task in self.sealings.values():
             task.cancel()
 
+    def take_members(self, members: dict[str, model.Member]) -> None:
+        """Takes the records of all nodes."""
+        self.wards = {
+            name: member.witnesses.index(self.name)
+            for name, member in members.items()
+            if name != self.name and self.name in member.witnesses
+        }
+
     def watch_over_others(self, now_ms: float) -> None:
         """Begins to take over from nodes that their witnesses find silent."""
         if not self.witness.ready:
             return
-        for name, (member, _) in self.view.members.items():
-            if name == self.name or name in self.sealings:
+        for name, rank in self.wards.items():
+            if name in self.sealings:
                 continue
-            if self.name not in member.witnesses:
-                continue
-            rank = member.witnesses.index(self.name)
             limit_ms = lease_module.SILENCE_MS + rank * RANK_DELAY_MS
             if self.witness.silent_ms(now_ms, name) < limit_ms:
                 continue
@@ -219,6 +231,9 @@
 
     async def forget_lost(self, now_ms: float) -> None:
         """Removes the record of a node that owns no keys and is long lost."""
+        if now_ms - self.forgot_ms < FORGET_EVERY_MS:
+            return
+        self.forgot_ms = now_ms
         directory = self.hub.directory
         if min(self.hub.alive() | {self.name}) != self.name:
             return
