Deal the keys to all targets at once; compress tables; few readers at a start

Every node took itself for a reader until it had heard of others. Ruled out: pings (1 KB a second and node when calm, profile of 50 nodes). Change: one deal to all; an owner reads its own record before it grants, and keys of an owner without a record are adopted under the condition that there is none; items of over 1 KiB are compressed (a first table of 68 KB takes 2.4 KB); stripes of 4 keys instead of 8; a young process that knows less than half of the nodes is no reader; plans are placed with a heap, 7 times a second at most. A node registers only where no table exists that it does not know.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -36,7 +36,7 @@
 RETRY_MS = 150.0
 """Between two attempts to connect: a restarted node is found soon."""
 
-RETRY_MAX_MS = 1_200.0
+RETRY_MAX_MS = 500.0
 """The same to a node that has not answered many attempts."""
 
 
--- a/src/auburnrock/engine/mesh/plan.py
+++ b/src/auburnrock/engine/mesh/plan.py
@@ -9,6 +9,8 @@
 ranges of neighbouring keys, which narrow stripes spread over targets.
 """
 
+import heapq
+
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import table as table_module
 
@@ -23,19 +25,17 @@
 def deal(weights: dict[model.Life, float]) -> list[model.Life]:
     """Owner of each stripe when nothing is owned yet.
 
-    Smooth weighted round robin, so that neighbours differ in owner.
+    Each owner's stripes lie at even distances, so that neighbours differ in
+    owner.
     """
-    count = first_count(len(weights))
-    total = sum(weights.values())
-    credits = dict.fromkeys(sorted(weights, key=_order), 0.0)
-    owners = []
-    for _ in range(count):
-        for life in credits:
-            credits[life] += weights[life]
-        best = max(credits, key=credits.__getitem__)
-        credits[best] -= total
-        owners.append(best)
-    return owners
+    shares = _shares(first_count(len(weights)), weights)
+    order = sorted(weights, key=_order)
+    places = [
+        ((number + 0.5) / shares[life], place)
+        for place, life in enumerate(order)
+        for number in range(shares[life])
+    ]
+    return [order[place] for _, place in sorted(places)]
 
 
 def first_count(targets: int) -> int:
@@ -139,12 +139,18 @@
     order = sorted(counts, key=_order)
     if max(shares.values()) > table_module.ROWS_MAX:
         return _place_in_runs(loose, counts, shares, order)
+    heap = [
+        ((counts[life] + 1) / max(1, shares[life]), place)
+        for place, life in enumerate(order)
+    ]
+    heapq.heapify(heap)
     for index in loose:
-        life = min(
-            order, key=lambda life: (counts[life] + 1) / max(1, shares[life])
-        )
+        place = heap[0][1]
+        life = order[place]
         counts[life] += 1
         placed[index] = life
+        part = (counts[life] + 1) / max(1, shares[life])
+        heapq.heapreplace(heap, (part, place))
     return placed
 
 
--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -17,9 +17,9 @@
 """Rows that a heartbeat's reply of 4 KiB has room for, at 11 bytes each,
 beside a few with a handover."""
 
-STRIPES_MAX = 8_192
-"""Bounds the table to about 60 KiB; the hottest ranges have 40 keys or more, so
-stripes of 8 keys are narrow enough."""
+STRIPES_MAX = 16_384
+"""Bounds the table to about 100 KiB before compression. The hottest ranges have
+40 to 200 neighbouring keys; stripes of 4 keys spread 200 over 50 targets."""
 
 
 class Stripe(msgspec.Struct, frozen=True, array_like=True):
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -1,5 +1,6 @@
 """Moves of keys: the first deal, hand-over, and reused addresses."""
 
+from collections.abc import Collection
 import random
 
 from auburnrock.engine.mesh import coordination
@@ -12,6 +13,10 @@
 FIRST_DEAL_MS = 3_000.0
 """Keys are dealt without the missing targets of a first start after this."""
 
+PLAN_EVERY_MS = 150.0
+"""Least time between two plans: when a fleet starts or a zone is lost, targets
+come and go one by one, and a plan of 8,192 stripes takes milliseconds."""
+
 GATHER_MS = 120.0
 """Released keys wait so long for others, to be moved by one change."""
 
@@ -19,6 +24,13 @@
 """For each target of the service, the longest pause after a change that lost
 to another: a change takes about as long, and the losers must not meet again."""
 
+NO_RECORD_MS = 3_000.0
+"""An owner without a record for this long has none; news of a record comes
+within a second."""
+
+GONE_MAX = 8
+"""Lost owners whose keys one change moves, beside those it gives keys to."""
+
 RECIPIENTS_MAX = 20
 """Nodes that one change of the table gives keys to: a change has room for 32
 entries, and each of them is one."""
@@ -28,7 +40,10 @@
     """Plans and carries out the moves of this node's keys.
 
     Attributes:
-      planned: what the last plan was made from.
+      planned: state of all that a plan looks at, when it was last looked at.
+      planned_ms: when that was.
+      missing_since_ms: since when owners have no record, by name.
+      basis: what the last plan was made from.
       gather_since_ms: when the first of the released keys was; None if none.
       wait_until_ms: end of the pause after a change that lost to another.
       chance: spreads the pauses.
@@ -37,6 +52,9 @@
     def __init__(self, parts: parts_module.Parts):
         super().__init__(parts)
         self.planned: tuple = ()
+        self.planned_ms = 0.0
+        self.missing_since_ms: dict[str, float] = {}
+        self.basis: tuple = ()
         self.gather_since_ms: float | None = None
         self.wait_until_ms = 0.0
         self.chance = random.Random()
@@ -78,10 +96,15 @@
             self.holder.draining,
             self.holder.lapsed(now_ms),
         )
-        if mark == self.planned:
+        if mark == self.planned or now_ms - self.planned_ms < PLAN_EVERY_MS:
             return
         self.planned = mark
+        self.planned_ms = now_ms
         weights = self._weights()
+        basis = (known[0].version, weights, self.holder.life)
+        if basis == self.basis:
+            return
+        self.basis = basis
         wanted = plan.moves(known[0], weights)
         giving = dict(self.holder.giving)
         own = self.holder.life
@@ -121,13 +144,12 @@
             return
         if not present or min(present) != self.name:
             return
-        chosen = sorted(weights, key=lambda life: life.member)[:RECIPIENTS_MAX]
-        table = table_module.first_table(
-            plan.deal({life: weights[life] for life in chosen})
-        )
-        await self._write_table(
-            table, 0, {life.member for life in chosen}, "deal"
-        )
+        table = table_module.first_table(plan.deal(weights))
+        # The records of all would not fit one change. So each owner reads its
+        # own before it grants anything, and adopt_orphans sees to the keys of
+        # one that has lost it.
+        conditions = set(sorted(present)[:RECIPIENTS_MAX])
+        await self._write_table(table, 0, conditions, "deal")
 
     async def hand_over(self, now_ms: float) -> None:
         """Gives away the keys that the target no longer holds."""
@@ -193,53 +215,95 @@
         }
 
     async def adopt_orphans(self, now_ms: float) -> None:
-        """Moves keys whose owner's address went to another service.
+        """Moves keys of owners that nobody else can take them over from.
 
-        No two hosts have one address at a time, so the earlier host, and the
-        target on it, have ended.
+        The owner's address went to another service: no two hosts have one
+        address at a time, so the earlier host, and the target on it, have
+        ended. Or the owner has no record: it was lost before the first deal
+        gave it keys. Without a record it has no lease, and it registers anew
+        only beside the table that it knows.
         """
         service = self.settings.service
         known = self.view.tables.get(service)
         if known is None or now_ms - self.started_ms < parts_module.SETTLE_MS:
             return
         gone = {
-            name: self.view.members[name][1]
+            name
             for name in known[0].members()
             if name in self.view.members
             and self.view.members[name][0].service != service
         }
+        absent = self._without_record(now_ms, known[0])
+        if not gone and not absent:
+            return
         weights = self._weights()
         present = {life.member for life in weights}
-        if not gone or not present or min(present) != self.name:
+        if not present or min(present) != self.name:
             return
         wanted = plan.moves(known[0], weights)
         moves = {
             index: (life, "")
             for index, life in wanted.items()
-            if known[0].lives[known[0].stripes[index].owner].member in gone
+            if known[0].lives[known[0].stripes[index].owner].member
+            in gone | absent
         }
-        table = table_module.changed(known[0], moves)
         recipients = {life.member for life, _ in moves.values()}
+        kept = set(sorted(recipients)[:RECIPIENTS_MAX])
+        moves = {
+            index: (life, handover)
+            for index, (life, handover) in moves.items()
+            if life.member in kept
+        }
+        if not moves:
+            return
+        table = table_module.changed(known[0], moves)
         await self._write_table(
-            table, known[1], recipients | set(gone), "address_reused"
+            table, known[1], kept | gone, "owner_gone", absent
         )
 
+    def _without_record(
+        self, now_ms: float, table: table_module.KeyTable
+    ) -> set[str]:
+        """A few owners that have had no record for a while."""
+        missing = table.members() - self.view.members.keys()
+        for name in self.missing_since_ms.keys() - missing:
+            del self.missing_since_ms[name]
+        for name in missing:
+            self.missing_since_ms.setdefault(name, now_ms)
+        lost = [
+            name
+            for name in sorted(missing)
+            if now_ms - self.missing_since_ms[name] >= NO_RECORD_MS
+        ]
+        return set(lost[:GONE_MAX])
+
     async def _write_table(
         self,
         table: table_module.KeyTable,
         revision: int,
-        recipients: set[str],
+        members: set[str],
         cause: str,
+        absent: Collection[str] = (),
     ) -> bool:
-        """Writes a table if nothing that it builds on has changed."""
+        """Writes a table if nothing that it builds on has changed.
+
+        Args:
+          table: the later version.
+          revision: of the version that it builds on; 0 for none.
+          members: nodes whose records must be as they are known here.
+          cause: why, for the log.
+          absent: nodes that must have no record.
+        """
         service = self.settings.service
         key = self.view.table_key(service)
         expected = {key: revision}
-        for name in recipients:
+        for name in members:
             known = self.view.members.get(name)
             if known is None:
                 return False
             expected[self.view.member_key(name)] = known[1]
+        for name in absent:
+            expected[self.view.member_key(name)] = 0
         result = await self.store.change(
             expected, {key: view_module.encode(table)}, []
         )
@@ -247,7 +311,7 @@
             "table_written",
             cause=cause,
             version=table.version,
-            to=",".join(sorted(recipients)),
+            members=",".join(sorted(members)),
             done=isinstance(result, int),
         )
         if isinstance(result, coordination.Conflict):
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -52,6 +52,9 @@
 FLUSH_S = 0.1
 """Log lines are written this late at most."""
 
+STATE_EVERY_MS = 5_000.0
+"""Between two lines on what a node keeps open and has sent."""
+
 IDLE_TICK_S = 0.05
 """Between two ticks while no request waits; each tick wakes the process."""
 
@@ -242,6 +245,7 @@
     async def tick_always(self) -> None:
         """Checks waiting requests and writes the log."""
         flushed_s = 0.0
+        stated_ms = self.started_ms
         while True:
             self.executor.tick()
             self.hub.tick()
@@ -259,6 +263,24 @@
                     self.settings.ip, self.executor.report()
                 )
             await asyncio.sleep(pause_s)
+            if self.now_ms() - stated_ms > STATE_EVERY_MS:
+                stated_ms = self.now_ms()
+                self.log_state()
+
+    def log_state(self) -> None:
+        """Logs what this node keeps open and has sent."""
+        hub = self.hub
+        self.log.write(
+            "node_state",
+            members=len(hub.members),
+            alive=len(hub.directory.alive()),
+            links=len(hub.links),
+            inbound=len(hub.inbound),
+            store_calls=self.store.calls,
+            reader=self.telling.is_reader(),
+            configuration=self.configuration_version(),
+            **{f"sent_{kind}": size for kind, size in hub.sent_bytes.items()},
+        )
 
     async def execute(self, name: str, run: peering.Run) -> peering.Outcome:
         """Has the target beside a node run a request."""
@@ -498,7 +520,7 @@
         if self.holder.sequence != beat.sequence:
             return self.dialect.write_reply(model.HeartbeatReply())
         reply = self.holder.reply(
-            self.now_ms(), request.came_ms, self.ownership.lease.ends_ms()
+            self.now_ms(), request.came_ms, self.ownership.grants_until_ms()
         )
         return self.dialect.write_reply(reply)
 
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -142,6 +142,8 @@
             return
         self.on_table(service, table)
         if service == self.settings.service:
+            if table.version == 1:
+                self.record.is_confirmed = False
             self.holder.take_table(table)
             self.log.write(
                 "table_taken",
@@ -193,6 +195,12 @@
         if self.record.revision:
             self.takeover.watch_over_others(now_ms)
 
+    def grants_until_ms(self) -> float:
+        """Until when keys may be granted; 0 if none may."""
+        if not self.record.is_confirmed:
+            return 0.0
+        return self.lease.ends_ms()
+
     def _doubt(self, now_ms: float) -> None:
         """Reads the store: another node may have sealed this one's record."""
         if now_ms - self.doubted_ms >= DOUBT_EVERY_MS:
@@ -246,6 +254,10 @@
         if not self.record.revision:
             await self.record.register()
         elif self.keyed:
+            if not self.record.is_confirmed:
+                await self.record.confirm()
+                self.news.set()
+                return
             await self.record.change_witnesses(now_ms)
             await self.moves.deal(now_ms)
             await self.moves.hand_over(now_ms)
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -35,6 +35,14 @@
 TICK_MS = 50.0
 """Between two looks at all connections; news waits so long for other news."""
 
+NEIGHBOURS_EVERY_MS = 250.0
+"""Least time between two choices of neighbours: a fleet that starts registers
+within a second, and each choice would open other connections."""
+
+SUMS_EVERY_MS = 500.0
+"""A node asks for what differs this often at most: while a whole fleet starts
+everything differs, and the news is on its way already."""
+
 SUMS_DIFFER = 2
 """Pings in a row with another sum before entries are compared: news that is
 still on its way makes the sums differ for a moment."""
@@ -88,6 +96,10 @@
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
       assigned: witnesses for which duties were last assigned.
+      members_changed: whether records have changed since neighbours were
+        chosen.
+      chosen_ms: when they were.
+      compared_ms: when it last asked a neighbour for what differs.
       offsets: least difference of clocks seen to each other process.
       execute: runs a request at the target.
       versions: versions of the store's items known here.
@@ -132,6 +144,9 @@
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
+        self.members_changed = False
+        self.chosen_ms = now_ms()
+        self.compared_ms = 0.0
         self.assigned: set[str] | None = None
         self.execute: Callable[[peering.Run], Awaitable[peering.Outcome]]
         self.versions: Callable[[], peering.Versions]
@@ -208,10 +223,20 @@
                 del self.links[name]
             else:
                 link.member = member
+        self.members_changed = True
+        self.choose_neighbours()
+
+    def choose_neighbours(self) -> None:
+        """Chooses neighbours anew some time after the records have changed."""
+        now_ms = self.now_ms()
+        if now_ms - self.chosen_ms < NEIGHBOURS_EVERY_MS:
+            return
+        self.chosen_ms = now_ms
+        self.members_changed = False
         if self.is_small():
-            self.neighbours = {name for name in members if name != self.name}
+            self.neighbours = self.members.keys() - {self.name}
         else:
-            self.neighbours = membership.neighbours(self.name, members)
+            self.neighbours = membership.neighbours(self.name, self.members)
         self.assigned = None
         self.assign_duties()
 
@@ -247,6 +272,8 @@
         if now_ms - self.ticked_ms < TICK_MS:
             return
         self.ticked_ms = now_ms
+        if self.members_changed:
+            self.choose_neighbours()
         self.assign_duties()
         for name, link in list(self.links.items()):
             if link.news and link.greeted and link.connection is not None:
@@ -418,8 +445,11 @@
             inbound.differing = 0
             return
         inbound.differing += 1
-        if inbound.differing >= SUMS_DIFFER:
+        now_ms = self.now_ms()
+        is_due = now_ms - self.compared_ms >= SUMS_EVERY_MS
+        if inbound.differing >= SUMS_DIFFER and is_due:
             inbound.differing = 0
+            self.compared_ms = now_ms
             connection.send(peering.Sums(self.directory.sums()))
 
     def on_closed(self, connection: frames.FrameConnection) -> None:
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -20,12 +20,14 @@
     Attributes:
       revision: of the record; 0 before it is written.
       record: as written.
+      is_confirmed: whether it was read, or written, after the first deal.
     """
 
     def __init__(self, parts: parts_module.Parts):
         super().__init__(parts)
         self.revision = 0
         self.record: model.Member | None = None
+        self.is_confirmed = True
         self.unfit_since_ms: float | None = None
         self.changed_ms = 0.0
 
@@ -63,10 +65,10 @@
         key = self.view.member_key(self.name)
         expected = {key: known[1] if known else 0}
         table = self.view.tables.get(self.settings.service)
-        if table is not None:
-            # Pages of a listing are no snapshot: the record may be seen
-            # removed by a takeover, and the table as it was before.
-            expected[self.view.table_key(self.settings.service)] = table[1]
+        # Pages of a listing are no snapshot: the record may be seen removed by
+        # a takeover, and the table as it was before, or not at all.
+        table_key = self.view.table_key(self.settings.service)
+        expected[table_key] = table[1] if table else 0
         result = await self.store.change(
             expected, {key: view_module.encode(wanted)}, []
         )
@@ -87,6 +89,18 @@
             "registered", revision=revision, witnesses=record.witnesses
         )
 
+    async def confirm(self) -> None:
+        """Reads whether the record is as it was written.
+
+        The first deal of the keys is not conditional on the records of all
+        owners. No record of an owner is removed after it, except by a takeover.
+        """
+        item = await self.store.read(self.view.member_key(self.name))
+        if item is None or item.revision != self.revision:
+            self.lose("record_replaced", item.revision if item else 0)
+            await self.parts.read_back()
+        self.is_confirmed = True
+
     async def change_witnesses(self, now_ms: float) -> None:
         """Replaces witnesses that are silent, or adds missing ones."""
         if now_ms - self.started_ms < parts_module.SETTLE_MS:
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -248,10 +248,12 @@
                 silent_ms = directory.silent_for_ms(now_ms, name)
             if silent_ms < FORGET_MS:
                 continue
+            key = self.view.member_key(name)
+            table = self.view.tables.get(known[0].service)
+            # It may have been dealt keys that are not known of here.
+            table_key = self.view.table_key(known[0].service)
             result = await self.store.change(
-                {self.view.member_key(name): known[1]},
-                {},
-                [self.view.member_key(name)],
+                {key: known[1], table_key: table[1] if table else 0}, {}, [key]
             )
             self.log.write(
                 "record_forgotten", node=name, done=isinstance(result, int)
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -21,6 +21,10 @@
 TOLD_WITHIN_S = 0.4
 """What neighbours pass on comes within this of what other peers say."""
 
+READERS_KNOWN_MS = 3_000.0
+"""A process that has heard of less than half of the nodes does not take itself
+for a reader until it is this old: when all start, all would watch the store."""
+
 MEMBERS_EVERY_MS = 1_000.0
 """Between two readings of the store for nodes that connect without a known
 record; many start together."""
@@ -40,6 +44,7 @@
       configuration_sync: follows the operator's items.
       configuration_version: says which configuration is in force here.
       is_uninformed: says whether this process knows less than its peers.
+      started_ms: start of this process.
       spread: what has been passed on, and what was asked for.
       readers_known: the readers, and the state of the directory and of the
         records that they were worked out from.
@@ -67,6 +72,7 @@
         self.configuration_sync: sync.Sync
         self.configuration_version: Callable[[], int]
         self.is_uninformed: Callable[[], bool]
+        self.started_ms = now_ms()
         self.spread = spreading.Spread()
         self.readers_known: tuple[tuple, list[str]] | None = None
         self.asked_for: dict[str, int] = {}
@@ -95,6 +101,10 @@
 
     def is_reader(self) -> bool:
         """Whether this node is one of those that watch the store."""
+        hub = self.hub
+        is_young = self.now_ms() - self.started_ms < READERS_KNOWN_MS
+        if is_young and 2 * len(hub.directory.entries) < len(hub.members):
+            return False
         return self.settings.ip in self.readers()
 
     def reads(self) -> bool:
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -1,5 +1,7 @@
 """The nodes' records and key tables, as this node last saw them."""
 
+import zlib
+
 import msgspec
 
 from auburnrock.engine.mesh import coordination
@@ -11,6 +13,19 @@
 """Earlier versions of a table kept, to tell peers of the change only; a reader
 may have written the last few itself before its watch shows them."""
 
+COMPRESSED = b"z"
+"""Begins a compressed item; no message of MessagePack begins with it here."""
+
+COMPRESSED_BYTES = 1_024
+"""Longer items are compressed: a table goes through the store with each change,
+and to each node that starts."""
+
+COMPRESSION_LEVEL = 1
+"""Owners and tokens repeat; higher levels of zlib take longer for little."""
+
+TABLE_MAX_BYTES = 4 << 20
+"""Far above any table; bounds what a broken item can take."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _MEMBER = msgspec.msgpack.Decoder(model.Member)
 _TABLE = msgspec.msgpack.Decoder(table_module.KeyTable)
@@ -22,7 +37,28 @@
 
 def encode(message: model.Member | table_module.KeyTable) -> bytes:
     """Encodes a record or a table for the store."""
-    return _ENCODER.encode(message)
+    data = _ENCODER.encode(message)
+    if len(data) <= COMPRESSED_BYTES:
+        return data
+    return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def decompressed(data: bytes) -> bytes:
+    """The encoded message of an item of the store.
+
+    Raises:
+      UnreadableItemError: it is broken, or longer than any table.
+    """
+    if not data.startswith(COMPRESSED):
+        return data
+    reader = zlib.decompressobj()
+    try:
+        message = reader.decompress(data[len(COMPRESSED) :], TABLE_MAX_BYTES)
+    except zlib.error as error:
+        raise UnreadableItemError(str(error)) from error
+    if not reader.eof:
+        raise UnreadableItemError("longer than a table, or cut short")
+    return message
 
 
 def decode_member(data: bytes) -> model.Member:
@@ -44,7 +80,7 @@
       UnreadableItemError: it is none.
     """
     try:
-        return _TABLE.decode(data)
+        return _TABLE.decode(decompressed(data))
     except msgspec.DecodeError as error:
         raise UnreadableItemError(str(error)) from error
 
