--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -179,3 +179,36 @@
     await asyncio.sleep(1.5)
     assert rows(fleet) == STRIPES
     assert fleet.hosts[1].node.holder.table.version == before
+
+
+async def test_the_keys_of_an_owner_without_a_record_are_moved(fleet, oracle):
+    """Nobody is its witness, and it was lost before it could say so itself."""
+    await witnesses_chosen(fleet)
+    lost = fleet.hosts[0]
+    await lost.kill_node()
+    await lost.target.crash()
+    lost.target = None
+    fleet.store.apply([], [f"auburnrock/m/{lost.ip}"])
+    await fleet.until(lambda: rows(fleet) == STRIPES, 12.0)
+    table = fleet.hosts[1].node.holder.table
+    assert lost.ip not in table.members()
+
+
+async def test_an_owner_grants_nothing_before_it_has_read_its_record(fleet):
+    """The first deal is not conditional on the records of all owners."""
+    node = fleet.hosts[0].node
+    assert node.ownership.record.is_confirmed
+    assert node.ownership.grants_until_ms() > node.now_ms()
+    node.own_sync.stop()
+    node.own_sync.take_told = lambda items: None
+    node.ownership.record.is_confirmed = False
+    assert node.ownership.grants_until_ms() == 0.0
+    fleet.store.apply([], [f"auburnrock/m/{node.settings.ip}"])
+    lost = []
+    lose = node.ownership.record.lose
+    node.ownership.record.lose = lambda *cause: (
+        lost.append(cause),
+        lose(*cause),
+    )
+    await fleet.until(lambda: lost)
+    await fleet.until(lambda: node.ownership.record.is_confirmed)
--- a/tests/cover/test_mesh_plan.py
+++ b/tests/cover/test_mesh_plan.py
@@ -195,3 +195,31 @@
             reply = holder.reply(0.0, 0.0, 1e9)
             holders += sum(row.last - row.first + 1 for row in reply.holds)
         assert holders == model.KEYS
+
+
+def test_a_first_deal_to_77_targets_reaches_all_and_spreads_a_hot_range():
+    names = [f"t{number:02}" for number in range(77)]
+    weights = {mesh.life(name): 6.0 for name in names}
+    table = table_module.first_table(plan.deal(weights))
+    shares = counts(table).values()
+    assert len(shares) == 77
+    assert max(shares) - min(shares) <= 1
+    for first in range(0, model.KEYS - 200, 977):
+        owners = {table.owner_of(key) for key in range(first, first + 200)}
+        assert len(owners) >= 45
+
+
+@hypothesis.given(
+    st.lists(st.integers(1, 9), min_size=2, max_size=6),
+    st.integers(1, 60),
+)
+def test_each_loose_stripe_goes_to_who_lacks_the_largest_part(shares, loose):
+    """As a search over all owners for each stripe would place it."""
+    order = [mesh.life(f"t{place}") for place in range(len(shares))]
+    wanted = dict(zip(order, shares, strict=True))
+    placed = plan._place(list(range(loose)), dict.fromkeys(order, 0), wanted)
+    counted = dict.fromkeys(order, 0)
+    for index in range(loose):
+        best = min(order, key=lambda life: (counted[life] + 1) / wanted[life])
+        counted[best] += 1
+        assert placed[index] == best
