Deal once all have registered; pass on long table changes on request

Change: the deal waits until no record has come for 0.7 s; a writer tells its change itself; changes of more than 24 stripes are announced and asked for, and taken in order; a node that has read the store is told its own entry only; sums are compared three times less often; a process of less than 1.5 s takes no fleet for small. Tests: test_mesh_telling.py.

--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -36,12 +36,15 @@
     Attributes:
       name: the sender.
       start: tells this start of the sender from others.
-      asks_for_snapshot: whether the receiver should tell all it knows.
+      asks_for_snapshot: whether the receiver should tell what it knows.
+      has_read: whether the sender has read the store, so that it lacks no more
+        than what its former process said of itself.
     """
 
     name: str
     start: str
     asks_for_snapshot: bool
+    has_read: bool = False
 
 
 class Ping(Message, tag=1):
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -52,8 +52,8 @@
         """A ping with this node's load and what the other must know."""
 
     @abc.abstractmethod
-    def snapshot(self) -> peering.Snapshot:
-        """All that this node knows."""
+    def snapshot_for(self, hello: peering.Hello) -> peering.Snapshot:
+        """What this node knows and the other one lacks."""
 
     @abc.abstractmethod
     def take_answer(self, link: "Link", message: peering.Message) -> None:
@@ -235,7 +235,7 @@
         self.start = hello.start
         self.greeted = True
         if hello.asks_for_snapshot:
-            self.connection.send(self.owner.snapshot())
+            self.connection.send(self.owner.snapshot_for(hello))
         for entry in self.waiting.values():
             self.send_run(entry)
 
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -10,9 +10,13 @@
 from auburnrock.shells.mesh import parts as parts_module
 from auburnrock.shells.mesh import view as view_module
 
-FIRST_DEAL_MS = 3_000.0
+FIRST_DEAL_MS = 5_000.0
 """Keys are dealt without the missing targets of a first start after this."""
 
+QUIET_MS = 700.0
+"""All nodes of a first start have registered when no record has come for this
+long; what is dealt too soon must move."""
+
 PLAN_EVERY_MS = 150.0
 """Least time between two plans: when a fleet starts or a zone is lost, targets
 come and go one by one, and a plan of 8,192 stripes takes milliseconds."""
@@ -139,7 +143,8 @@
             if member.service == service
         }
         present = {life.member for life in weights}
-        complete = expected <= present
+        quiet_ms = now_ms - self.hub.members_ms
+        complete = expected <= present and quiet_ms >= QUIET_MS
         if not complete and now_ms - self.started_ms < FIRST_DEAL_MS:
             return
         if not present or min(present) != self.name:
@@ -304,9 +309,8 @@
             expected[self.view.member_key(name)] = known[1]
         for name in absent:
             expected[self.view.member_key(name)] = 0
-        result = await self.store.change(
-            expected, {key: view_module.encode(table)}, []
-        )
+        data = view_module.encode(table)
+        result = await self.store.change(expected, {key: data}, [])
         self.log.write(
             "table_written",
             cause=cause,
@@ -322,5 +326,6 @@
             ]
             self.parts.on_items(newer, self.witness.read_at)
             return False
+        self.parts.tell([coordination.Item(key, data, result)])
         self.parts.adopt_table(service, table, result)
         return True
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -198,11 +198,13 @@
         self.hub.term_for = self.ownership.term_for
         self.hub.witnesses = self.ownership.lease.asked
         self.hub.on_directory = self.dispatcher.take_entries
-        self.hub.item = self.item
+        self.hub.on_want = self.telling.on_want
+        self.telling.item = self.item
         self.hub.on_has = self.telling.on_has
         self.hub.on_pong = self.on_pong
         self.hub.on_ping = self.on_ping
         self.hub.items = self.items
+        self.hub.has_read = self.has_read
         self.hub.asks_for_snapshot = self.telling.asks_for_snapshot
         self.hub.on_told = self.telling.on_told
         self.hub.on_table_told = self.telling.on_table_told
@@ -211,6 +213,7 @@
         self.hub.on_silence = self.ownership.on_silence
         self.hub.on_seal = self.ownership.takeover.on_seal
         self.ownership.parts.on_members = self.dispatcher.take_members
+        self.ownership.parts.tell = self.telling.tell
         self.ownership.on_table = self.on_table
         self.ownership.parts.weight_of_self = self.weight
         self.ownership.on_lease_in_doubt = self.own_sync.list_again
@@ -314,11 +317,14 @@
             reads=self.telling.reads(),
         )
 
+    def has_read(self) -> bool:
+        """Whether this process has read the store."""
+        known = self.dispatcher.configuration is not None
+        return known and self.ownership.witness.ready
+
     def is_uninformed(self) -> bool:
         """Whether this process knows less than its peers do."""
-        known = self.dispatcher.configuration is not None
-        has_read = known and self.ownership.witness.ready
-        return not has_read or self.executor.target is None
+        return not self.has_read() or self.executor.target is None
 
     def items(self) -> list[tuple[str, bytes, int]]:
         """The store's items as known here."""
--- a/src/auburnrock/shells/mesh/parts.py
+++ b/src/auburnrock/shells/mesh/parts.py
@@ -43,6 +43,7 @@
       on_items: takes items of the store and the revision of their reading.
       read_back: lists the store, after a change of unknown outcome.
       adopt_table: takes a version of a table, read or written.
+      tell: passes on changes that this node has made, before it takes them.
       on_members: takes the nodes' records.
       weight_of_self: this target's share of the keys.
     """
@@ -75,6 +76,7 @@
         self.on_items: Callable[[list[coordination.Item], int], None]
         self.read_back: Callable[[], Awaitable[None]]
         self.adopt_table: Callable[[str, table_module.KeyTable, int], None]
+        self.tell: Callable[[list[coordination.Item]], None]
         self.on_members: Callable[[dict[str, model.Member]], None]
         self.weight_of_self: Callable[[], float]
 
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -39,11 +39,14 @@
 """Least time between two choices of neighbours: a fleet that starts registers
 within a second, and each choice would open other connections."""
 
-SUMS_EVERY_MS = 500.0
+YOUNG_MS = 1_500.0
+"""A process of this age knows the records of all nodes that started with it."""
+
+SUMS_EVERY_MS = 1_500.0
 """A node asks for what differs this often at most: while a whole fleet starts
 everything differs, and the news is on its way already."""
 
-SUMS_DIFFER = 2
+SUMS_DIFFER = 3
 """Pings in a row with another sum before entries are compared: news that is
 still on its way makes the sums differ for a moment."""
 
@@ -96,6 +99,8 @@
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
       assigned: witnesses for which duties were last assigned.
+      started_ms: start of this process.
+      members_ms: when a record was last added or removed.
       members_changed: whether records have changed since neighbours were
         chosen.
       chosen_ms: when they were.
@@ -111,7 +116,8 @@
       on_pong: takes a pong.
       on_directory: entries of the directory have changed.
       items: the store's items as known here, for a snapshot.
-      item: one item of the store as known here.
+      on_want: a long item, or its change, for a neighbour that lacks it.
+      has_read: whether the store was read since the start.
       asks_for_snapshot: whether a connecting peer should tell all it knows.
       on_snapshot: takes a snapshot.
       on_told: takes changes of the store from a node.
@@ -144,6 +150,8 @@
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
+        self.started_ms = now_ms()
+        self.members_ms = now_ms()
         self.members_changed = False
         self.chosen_ms = now_ms()
         self.compared_ms = 0.0
@@ -158,7 +166,8 @@
         self.on_ping: Callable[[str, peering.Ping], int]
         self.on_directory: Callable[[list[membership.Entry]], None]
         self.items: Callable[[], list[tuple[str, bytes, int]]]
-        self.item: Callable[[str], tuple[str, bytes, int] | None]
+        self.on_want: Callable[[peering.Want], peering.Message | None]
+        self.has_read: Callable[[], bool]
         self.asks_for_snapshot: Callable[[], bool]
         self.on_told: Callable[[str, peering.Told], None]
         self.on_table_told: Callable[[str, peering.TableTold], None]
@@ -183,7 +192,9 @@
 
     def hello(self, asks_for_snapshot: bool) -> peering.Hello:
         """The first message on a connection."""
-        return peering.Hello(self.name, self.start, asks_for_snapshot)
+        return peering.Hello(
+            self.name, self.start, asks_for_snapshot, self.has_read()
+        )
 
     def versions_for(
         self, connection: frames.FrameConnection
@@ -214,6 +225,8 @@
 
     def set_members(self, members: dict[str, model.Member]) -> None:
         """Takes the records of all nodes."""
+        if members.keys() != self.members.keys():
+            self.members_ms = self.now_ms()
         self.members = members
         self.directory.set_members(members)
         for name, link in list(self.links.items()):
@@ -233,10 +246,13 @@
             return
         self.chosen_ms = now_ms
         self.members_changed = False
-        if self.is_small():
+        is_young = now_ms - self.started_ms < YOUNG_MS
+        if self.is_small() and not is_young:
             self.neighbours = self.members.keys() - {self.name}
         else:
+            # Most records of a large fleet may not be known yet.
             self.neighbours = membership.neighbours(self.name, self.members)
+            self.members_changed = is_young
         self.assigned = None
         self.assign_duties()
 
@@ -333,8 +349,11 @@
             if link is not None and name != giver:
                 link.send(message)
 
-    def snapshot(self) -> peering.Snapshot:
-        """All that this node knows."""
+    def snapshot_for(self, hello: peering.Hello) -> peering.Snapshot:
+        """What this node knows and the other one lacks."""
+        former = self.directory.entries.get(hello.name)
+        if hello.has_read:
+            return peering.Snapshot([], [former] if former else [])
         entries = list(self.directory.entries.values())
         return peering.Snapshot(self.items(), [*entries, self.directory.own])
 
@@ -349,9 +368,9 @@
             if entries:
                 link.send(peering.News(entries))
         elif isinstance(message, peering.Want):
-            item = self.item(message.key)
-            if item is not None:
-                link.send(peering.Told([item]))
+            told = self.on_want(message)
+            if told is not None:
+                link.send(told)
 
     def say_bye(self) -> None:
         """Tells all nodes to send no more requests here."""
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -21,6 +21,16 @@
 TOLD_WITHIN_S = 0.4
 """What neighbours pass on comes within this of what other peers say."""
 
+STRIPES_TOLD = 24
+"""A change of a table with more stripes is announced, and sent to those who ask
+for it: each node would get it from all of its neighbours."""
+
+CHANGES_MAX = 32
+"""Long changes kept for neighbours; they ask within milliseconds."""
+
+EARLY_MAX = 16
+"""Changes kept until their base comes."""
+
 READERS_KNOWN_MS = 3_000.0
 """A process that has heard of less than half of the nodes does not take itself
 for a reader until it is this old: when all start, all would watch the store."""
@@ -46,6 +56,9 @@
       is_uninformed: says whether this process knows less than its peers.
       started_ms: start of this process.
       spread: what has been passed on, and what was asked for.
+      early: changes of tables whose base is not known yet, by the base.
+      changes: long changes of tables that neighbours may ask for.
+      item: one item of the store as known here.
       readers_known: the readers, and the state of the directory and of the
         records that they were worked out from.
       asked_for: highest version by service, or "" for the configuration, for
@@ -74,6 +87,9 @@
         self.is_uninformed: Callable[[], bool]
         self.started_ms = now_ms()
         self.spread = spreading.Spread()
+        self.early: dict[int, peering.TableTold] = {}
+        self.changes: dict[tuple[str, int], peering.TableTold] = {}
+        self.item: Callable[[str], tuple[str, bytes, int] | None]
         self.readers_known: tuple[tuple, list[str]] | None = None
         self.asked_for: dict[str, int] = {}
         self.asked_for_members_ms = 0.0
@@ -130,7 +146,7 @@
                 )
                 continue
             if told is not None:
-                self.hub.tell(told, giver)
+                self.tell_table(told, giver)
             elif len(item.value or b"") > spreading.LONG_BYTES:
                 self.hub.tell(peering.Has(item.key, item.revision), giver)
             else:
@@ -159,16 +175,42 @@
         """Takes a change of a key table from a neighbour."""
         key = self.ownership.view.table_key(told.service)
         if self.spread.pass_on(key, told.revision):
-            self.hub.tell(told, giver)
+            self.tell_table(told, giver)
         table = self.ownership.view.told_table(told)
         if table is not None:
             item = coordination.Item(key, view.encode(table), told.revision)
             # Adopted first, so that the item need not be decoded.
             self.ownership.adopt_table(told.service, table, told.revision)
             self.own_sync.take_told([item])
+            follower = self.early.pop(told.revision, None)
+            if follower is not None:
+                self.on_table_told(giver, follower)
         elif told.change.version > self.table_version(told.service):
+            # Its base may be on the way from another neighbour.
+            self.early[told.base] = told
+            while len(self.early) > EARLY_MAX:
+                del self.early[next(iter(self.early))]
             self.later(self.ask_for_table, told.service, told.change.version)
 
+    def tell_table(self, told: peering.TableTold, giver: str) -> None:
+        """Passes on a change of a key table, or that it is to be had here."""
+        if len(told.change.stripes) <= STRIPES_TOLD:
+            self.hub.tell(told, giver)
+            return
+        key = self.ownership.view.table_key(told.service)
+        self.changes[key, told.revision] = told
+        while len(self.changes) > CHANGES_MAX:
+            del self.changes[next(iter(self.changes))]
+        self.hub.tell(peering.Has(key, told.revision), giver)
+
+    def on_want(self, want: peering.Want) -> peering.Message | None:
+        """What a neighbour lacks: the announced change, or the item."""
+        told = self.changes.get((want.key, want.revision))
+        if told is not None:
+            return told
+        item = self.item(want.key)
+        return peering.Told([item]) if item is not None else None
+
     def asks_for_snapshot(self) -> bool:
         """Whether a peer that has just connected should tell what it knows.
 
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -3,6 +3,7 @@
 import pytest_asyncio
 
 from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import table as table_module
 from auburnrock.shells.mesh import telling
 from tests.common import mesh_fleet
 
@@ -150,3 +151,53 @@
     }
     assert sizes["Ping"] > 0
     assert sizes["Pong"] > 0
+
+
+async def test_a_long_change_of_a_table_is_sent_to_who_asks_for_it(
+    fleet, monkeypatch
+):
+    """Told to all neighbours, each node would get it from each of its own."""
+    monkeypatch.setattr(telling, "STRIPES_TOLD", 0)
+    changes = {host.ip: [] for host in fleet.hosts}
+    for host in fleet.hosts:
+        take = host.node.hub.on_table_told
+
+        def note(giver, message, take=take, name=host.ip):
+            changes[name].append(message.revision)
+            take(giver, message)
+
+        host.node.hub.on_table_told = note
+    calls = sum(host.node.store.calls for host in fleet.hosts)
+    before = fleet.hosts[0].node.telling.table_version("portal")
+    fleet.hosts[3].target.state = "draining"
+    await fleet.until(lambda: min(versions(fleet)) > before)
+    await fleet.until(lambda: len(versions(fleet)) == 1)
+    assert any(changes.values())
+    for revisions in changes.values():
+        assert len(revisions) == len(set(revisions))
+    spent = sum(host.node.store.calls for host in fleet.hosts) - calls
+    assert spent <= 4 * len(fleet.hosts)
+
+
+async def test_a_change_that_comes_before_its_base_is_taken_after_it(fleet):
+    """Two neighbours may be asked for two changes that follow each other."""
+    last = fleet.hosts[4].node
+    last.own_sync.stop()
+    known, revision = last.ownership.view.tables["portal"]
+    life = known.lives[0]
+    other = known.lives[1]
+    later = table_module.changed(known, {0: (other, "")})
+    latest = table_module.changed(later, {1: (life, "")})
+    first, second = (
+        peering.TableTold(
+            "portal", base, base + 1, table_module.difference(before, after)
+        )
+        for base, before, after in (
+            (revision, known, later),
+            (revision + 1, later, latest),
+        )
+    )
+    last.hub.on_table_told("x", second)
+    assert last.telling.table_version("portal") == known.version
+    last.hub.on_table_told("y", first)
+    assert last.ownership.view.tables["portal"][0] == latest
