Encode a table for peers only when one asks for it

Cause: each node encoded, and now compressed, the whole table at each change that it was told of, to keep an item that only a starting peer reads. Change: records are kept as items, tables are encoded on request.

--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -328,18 +328,17 @@
 
     def items(self) -> list[tuple[str, bytes, int]]:
         """The store's items as known here."""
-        raw = self.ownership.view.raw.values()
-        items = [item for item in raw if item.value is not None]
+        items = self.ownership.view.items()
         if self.configuration_item is not None:
             items.append(self.configuration_item)
         return [(item.key, item.value, item.revision) for item in items]
 
     def item(self, key: str) -> tuple[str, bytes, int] | None:
         """One item of the store as known here."""
-        item = self.ownership.view.raw.get(key)
+        item = self.ownership.view.item(key)
         if item is None and key == self.dialect.configuration_key:
             item = self.configuration_item
-        if item is None or item.value is None:
+        if item is None:
             return None
         return item.key, item.value, item.revision
 
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -84,16 +84,17 @@
         """Takes items that may come from a peer and be out of date."""
         members_changed = False
         for item in items:
+            kind, name = self.view.split(item.key)
+            if kind == "k":
+                self._on_table(name, item)
+                continue
             known = self.view.raw.get(item.key)
             if known is not None and known.revision > item.revision:
                 continue
             self.view.raw[item.key] = item
-            kind, name = self.view.split(item.key)
             if kind == "m":
                 members_changed = True
                 self._on_member(name, item)
-            elif kind == "k":
-                self._on_table(name, item)
         if members_changed:
             records = self.view.records()
             self.takeover.take_members(records)
--- a/src/auburnrock/shells/mesh/sync.py
+++ b/src/auburnrock/shells/mesh/sync.py
@@ -213,6 +213,10 @@
             del self.removed[next(iter(self.removed))]
         self.removed[item.key] = item.revision
 
+    def note_told(self, key: str, revision: int) -> None:
+        """A change was taken without its item."""
+        self.known[key] = max(revision, self.known.get(key, 0))
+
     def take_told(self, items: list[coordination.Item]) -> None:
         """Takes what a reader tells."""
         self.take([item for item in items if item.key.startswith(self.prefix)])
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -178,10 +178,8 @@
             self.tell_table(told, giver)
         table = self.ownership.view.told_table(told)
         if table is not None:
-            item = coordination.Item(key, view.encode(table), told.revision)
-            # Adopted first, so that the item need not be decoded.
             self.ownership.adopt_table(told.service, table, told.revision)
-            self.own_sync.take_told([item])
+            self.own_sync.note_told(key, told.revision)
             follower = self.early.pop(told.revision, None)
             if follower is not None:
                 self.on_table_told(giver, follower)
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -93,7 +93,7 @@
       members: record and revision by name.
       tables: table and revision by service.
       bases: the last few earlier tables and revisions by service.
-      raw: every item as read, by key.
+      raw: every item but the tables as read, by key.
     """
 
     def __init__(self, prefix: str):
@@ -103,6 +103,24 @@
         self.bases: dict[str, list[tuple[table_module.KeyTable, int]]] = {}
         self.raw: dict[str, coordination.Item] = {}
 
+    def items(self) -> list[coordination.Item]:
+        """All items; tables are encoded only here, as they change often."""
+        tables = [
+            coordination.Item(self.table_key(service), encode(table), revision)
+            for service, (table, revision) in self.tables.items()
+        ]
+        raw = [item for item in self.raw.values() if item.value is not None]
+        return raw + tables
+
+    def item(self, key: str) -> coordination.Item | None:
+        """One item; None if it is not known or was removed."""
+        kind, name = self.split(key)
+        if kind == "k" and name in self.tables:
+            table, revision = self.tables[name]
+            return coordination.Item(key, encode(table), revision)
+        item = self.raw.get(key)
+        return item if item is not None and item.value is not None else None
+
     def records(self) -> dict[str, model.Member]:
         """Records by name."""
         return {name: entry[0] for name, entry in self.members.items()}
