List the store before the first deal; do not spread what a start has spread

Cause (logs of 11 nodes): the dealer still knew 16 of 77 targets when no record had come for 0.7 s, since nobody watched the store yet; entries got by comparing sums were passed on to all neighbours while the whole fleet started: 230 KB a node in 5 s. Change: the dealer lists the store until a listing shows nobody new; of many missed entries only the node's own is passed on; a line for each entry told.

--- a/src/auburnrock/engine/mesh/membership.py
+++ b/src/auburnrock/engine/mesh/membership.py
@@ -30,6 +30,9 @@
 """Sums are compared for parts of the fleet, so that one missed entry does not
 cost the entries of all."""
 
+MISSED_PASSED_ON = 24
+"""Up to so many entries got by comparing sums are passed on."""
+
 SILENT_AGAIN_MS = 3_000.0
 """A node whose neighbour was contradicted does not call it silent again for so
 long: it may be its own link that is lost."""
@@ -157,6 +160,16 @@
             news.append(entry)
         return news
 
+    def missed_by_others(self, news: list[Entry]) -> list[Entry]:
+        """Which entries, got by comparing sums, are to be passed on.
+
+        A few may have been missed by others too. Where many are new, this
+        process or the fleet has just started, and they are on their way.
+        """
+        if len(news) <= MISSED_PASSED_ON:
+            return news
+        return [entry for entry in news if entry.name == self.own.name]
+
     def call_silent(self, now_ms: float, name: str) -> Entry | None:
         """A node is no longer heard here; the entry to spread if it is news."""
         known = self.entries.get(name)
--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -247,12 +247,18 @@
 class Sums(Message, tag=17):
     """Sums of the parts of the sender's directory, which seems to differ.
 
-    The receiver answers with `News` of the parts that differ.
+    The receiver answers with `Differing`.
     """
 
     sums: list[int]
 
 
+class Differing(Message, tag=20):
+    """Answers `Sums`: the sender's entries of the parts that differ."""
+
+    entries: list[membership.Entry]
+
+
 class Has(Message, tag=18):
     """The sender has a long item of the store that has changed.
 
@@ -293,6 +299,7 @@
     | Sums
     | Has
     | Want
+    | Differing
 )
 
 Outcome = Answered | Refused | Lost
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -46,6 +46,7 @@
     Attributes:
       planned: state of all that a plan looks at, when it was last looked at.
       planned_ms: when that was.
+      listed_ms: when the store was last listed for the first deal.
       missing_since_ms: since when owners have no record, by name.
       basis: what the last plan was made from.
       gather_since_ms: when the first of the released keys was; None if none.
@@ -57,6 +58,7 @@
         super().__init__(parts)
         self.planned: tuple = ()
         self.planned_ms = 0.0
+        self.listed_ms = 0.0
         self.missing_since_ms: dict[str, float] = {}
         self.basis: tuple = ()
         self.gather_since_ms: float | None = None
@@ -149,6 +151,11 @@
             return
         if not present or min(present) != self.name:
             return
+        if self.hub.members_ms > self.listed_ms:
+            # Nobody may have told of the nodes that have registered since.
+            await self.parts.read_back()
+            self.listed_ms = self.now_ms()
+            return
         table = table_module.first_table(plan.deal(weights))
         # The records of all would not fit one change. So each owner reads its
         # own before it grants anything, and adopt_orphans sees to the keys of
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -352,7 +352,7 @@
             self.ownership.take_items(
                 [item for item in items if item.key.startswith(prefix)]
             )
-        self.hub.take_news("", snapshot.entries)
+        self.hub.take_differing("", snapshot.entries)
         for entry in snapshot.entries:
             if entry.name != self.settings.ip:
                 continue
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -303,6 +303,17 @@
         """Spreads what this node says of itself, if it has changed."""
         told = self.directory.tell_own(entry)
         if told is not None:
+            self.log.write(
+                "entry_told",
+                version=told.version,
+                target=told.life.target if told.life else "",
+                slots=told.slots,
+                pace=round(told.pace, 3),
+                draining=told.draining,
+                cold=told.cold,
+                leaving=told.leaving,
+                reads=told.reads,
+            )
             self.spread([told])
 
     def spread(self, entries: list[membership.Entry], giver: str = "") -> None:
@@ -327,6 +338,15 @@
             self.spread(news, giver)
             self.on_directory(news)
 
+    def take_differing(
+        self, giver: str, entries: list[membership.Entry]
+    ) -> None:
+        """Takes entries that were missed here."""
+        news = self.directory.take(self.now_ms(), entries)
+        self.spread(self.directory.missed_by_others(news), giver)
+        if news:
+            self.on_directory(news)
+
     def lose_node(self, link: link_module.Link, refused: bool) -> None:
         """Calls a node silent that cannot be connected to.
 
@@ -366,7 +386,7 @@
         elif isinstance(message, peering.Sums):
             entries = self.directory.differing(message.sums)
             if entries:
-                link.send(peering.News(entries))
+                link.send(peering.Differing(entries))
         elif isinstance(message, peering.Want):
             told = self.on_want(message)
             if told is not None:
@@ -418,6 +438,8 @@
             self.on_ping_message(connection, inbound, message)
         elif isinstance(message, peering.News):
             self.take_news(inbound.name, message.entries)
+        elif isinstance(message, peering.Differing):
+            self.take_differing(inbound.name, message.entries)
         elif isinstance(message, peering.Snapshot):
             self.on_snapshot(message)
         elif isinstance(message, peering.Told):
--- a/tests/common/mesh_neighbours.py
+++ b/tests/common/mesh_neighbours.py
@@ -141,7 +141,14 @@
     def take_sums(self, peer: Peer, giver: str, sums: list[int]) -> None:
         """Answers with the parts that differ."""
         entries = peer.directory.differing(sums)
-        self.send(peer, giver, self.take_news, peer.name, entries)
+        self.send(peer, giver, self.take_missed, peer.name, entries)
+
+    def take_missed(
+        self, peer: Peer, giver: str, entries: list[membership.Entry]
+    ) -> None:
+        """Takes what was missed."""
+        news = peer.directory.take(self.now_ms, entries)
+        self.tell(peer, peer.directory.missed_by_others(news), giver)
 
     def announce(self, peer: Peer, key: str, revision: int) -> None:
         """A long item came; the neighbours are told that it is here."""
