--- a/src/auburnrock/engine/mesh/choice.py
+++ b/src/auburnrock/engine/mesh/choice.py
@@ -13,7 +13,7 @@
 once, with a fresh report, and the next one is asked.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import random
 
 import msgspec
@@ -170,8 +170,11 @@
         if is_cold or report.cold_ms > now_ms - self.reported_ms:
             pace *= COLD_FACTOR
         own_ms = work_ms * pace
-        age = min(1.0, (now_ms - self.reported_ms) / REPORT_FADES_MS)
-        busy = (report.running + report.waiting) * (1.0 - age)
+        age_ms = now_ms - self.reported_ms
+        age = min(1.0, age_ms / REPORT_FADES_MS)
+        busy = report.running + report.waiting
+        if age_ms > FRESH_MS:
+            busy *= 1.0 - age
         busy += self.sent_since
         free = report.slots - busy
         wait_ms = report.wait_ms * (1.0 - age)
@@ -254,6 +257,7 @@
     is_open: Callable[[Candidate], bool],
     work_ms: float,
     chance: random.Random,
+    again: Sequence[Candidate] = (),
 ) -> Candidate | None:
     """The target with the least expected time among a few; None without one.
 
@@ -263,6 +267,7 @@
       is_open: whether a target can be asked, and has not been in vain.
       work_ms: work that an average target would take.
       chance: breaks ties, and says which few are compared.
+      again: targets that are compared besides.
     """
 
     def may_be_chosen(candidate: Candidate) -> bool:
@@ -273,7 +278,7 @@
 
     best = None
     best_ms = 0.0
-    for candidate in group.some(may_be_chosen, chance):
+    for candidate in (*group.some(may_be_chosen, chance), *again):
         cost_ms = candidate.expected_ms(now_ms, work_ms, group.zone)
         cost_ms *= 1.0 + 0.05 * chance.random()
         if best is None or cost_ms < best_ms:
--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -57,7 +57,14 @@
 
 
 class Attempt:
-    """One caller's request on its way."""
+    """One caller's request on its way.
+
+    Attributes:
+      asked: nodes that were asked.
+      impatient: those that declined only to have it wait.
+      tries: how often a node was asked.
+      targets: nodes whose target may have begun to run it.
+    """
 
     __slots__ = (
         "asked",
@@ -65,6 +72,7 @@
         "closes_ms",
         "deadline_ms",
         "head",
+        "impatient",
         "lost",
         "mark",
         "method",
@@ -77,6 +85,7 @@
         "service",
         "started_ms",
         "targets",
+        "tries",
     )
 
     def __init__(self, head: model.RequestHead, started_ms: float):
@@ -84,6 +93,8 @@
         self.started_ms = started_ms
         self.asked: set[str] = set()
         self.targets: set[str] = set()
+        self.impatient: set[str] = set()
+        self.tries = 0
         self.reached = 0
         self.lost = False
         self.moving_ms = 0.0
@@ -288,19 +299,28 @@
     def _choose(self, attempt: Attempt) -> choice.Candidate | None:
         """A target for a request that any target may run."""
         group = self.groups.get(attempt.service)
-        if group is None or len(attempt.asked) > ELSEWHERE_MAX:
+        if group is None or attempt.tries > ELSEWHERE_MAX:
             return None
 
         def is_open(candidate: choice.Candidate) -> bool:
             name = candidate.name
             return name not in attempt.asked and self.reachable(name)
 
+        # Who would not take it without a wait may still be the best to wait at.
+        again = []
+        if attempt.tries >= choice.IMPATIENT_MAX:
+            again = [
+                group.by_name[name]
+                for name in attempt.impatient
+                if name in group.by_name and self.reachable(name)
+            ]
         return choice.choose(
             self.now_ms(),
             group,
             is_open,
             attempt.route.objective_ms,
             self.chance,
+            again,
         )
 
     async def _ask(
@@ -310,6 +330,13 @@
         now_ms = self.now_ms()
         self.numbers += 1
         attempt.asked.add(candidate.name)
+        attempt.impatient.discard(candidate.name)
+        patience_ms = -1.0
+        if not keyed:
+            patience_ms = choice.patience_ms(
+                now_ms, candidate, attempt.route.objective_ms, attempt.tries
+            )
+        attempt.tries += 1
         run = peering.Run(
             self.numbers,
             attempt.head.attempt,
@@ -327,14 +354,7 @@
             attempt.body,
             attempt.mark,
             now_ms,
-            -1.0
-            if keyed
-            else choice.patience_ms(
-                now_ms,
-                candidate,
-                attempt.route.objective_ms,
-                len(attempt.asked) - 1,
-            ),
+            patience_ms,
         )
         candidate.begin()
         outcome: peering.Outcome | None = None
@@ -352,6 +372,8 @@
         if outcome.report.slots:
             candidate.take_report(self.now_ms(), outcome.report)
         reached = not isinstance(outcome, peering.Refused) or outcome.reached
+        if patience_ms >= 0.0 and _is_overloaded(outcome):
+            attempt.impatient.add(candidate.name)
         if reached:
             attempt.reached += 1
             attempt.targets.add(candidate.name)
@@ -539,6 +561,12 @@
         )
 
 
+def _is_overloaded(outcome: peering.Outcome) -> bool:
+    """Whether a target was too busy for a request."""
+    kind = errors.ErrorKind.OVERLOADED.value
+    return isinstance(outcome, peering.Refused) and outcome.kind == kind
+
+
 def _is_failure(outcome: peering.Outcome | None) -> bool:
     """Whether an outcome speaks against its target."""
     if isinstance(outcome, peering.Lost):
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -173,7 +173,7 @@
         self.on_table_told: Callable[[str, peering.TableTold], None]
         self.on_has: Callable[[peering.Has], bool]
         self.on_snapshot: Callable[[peering.Snapshot], None]
-        self.on_stranger: Callable[[str], None]
+        self.on_stranger: Callable[[str, frames.FrameConnection], None]
         self.on_silence: Callable[[str], float]
         self.on_seal: Callable[[str, int], float | None]
         self.listener: asyncio.Server | None = None
@@ -427,7 +427,7 @@
             self.inbound[connection] = Inbound(message.name, message.start)
             connection.send(self.hello(self.asks_for_snapshot()))
             if message.name not in self.members:
-                self.on_stranger(message.name)
+                self.on_stranger(message.name, connection)
             return
         inbound = self.inbound.get(connection)
         if inbound is None:
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -13,6 +13,7 @@
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import spreading
 from auburnrock.shells.mesh import event_log
+from auburnrock.shells.mesh import frames
 from auburnrock.shells.mesh import ownership as ownership_module
 from auburnrock.shells.mesh import peers
 from auburnrock.shells.mesh import sync
@@ -223,12 +224,23 @@
         self.snapshots_asked += 1
         return self.snapshots_asked <= SNAPSHOTS
 
-    def on_stranger(self, name: str) -> None:
-        """Reads the store if no reader soon tells of a node's record."""
-        self.later(self.ask_for_member, name)
+    def on_stranger(
+        self, name: str, connection: frames.FrameConnection
+    ) -> None:
+        """Asks a node for its record if nobody soon tells of it."""
+        self.later(self.ask_stranger, name, connection)
+
+    def ask_stranger(
+        self, name: str, connection: frames.FrameConnection
+    ) -> None:
+        """Asks a connected node for its record, if that is not known."""
+        if name not in self.hub.members:
+            key = self.ownership.view.member_key(name)
+            connection.send(peering.Want(key, 0))
+            self.later(self.ask_for_member, name)
 
     def ask_for_member(self, name: str) -> None:
-        """Reads the store if a connected node's record is not known."""
+        """Reads the store if a connected node's record is still not known."""
         now_ms = self.now_ms()
         if name in self.hub.members or self.is_uninformed():
             return
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -118,6 +118,9 @@
         if kind == "k" and name in self.tables:
             table, revision = self.tables[name]
             return coordination.Item(key, encode(table), revision)
+        if kind == "m" and name in self.members:
+            member, revision = self.members[name]
+            return coordination.Item(key, encode(member), revision)
         item = self.raw.get(key)
         return item if item is not None and item.value is not None else None
 
--- a/tests/cover/test_mesh_choice.py
+++ b/tests/cover/test_mesh_choice.py
@@ -178,3 +178,34 @@
     assert choice.patience_ms(100.0, known, 500.0, 0) < 0.0
     assert choice.patience_ms(5_000.0, known, 500.0, 0) >= 0.0
     assert choice.patience_ms(5_000.0, known, 500.0, 2) < 0.0
+
+
+def test_the_targets_of_a_small_service_that_are_all_busy_are_waited_at():
+    """All have declined to take it at once; each would let it wait."""
+    group = choice.Group("near")
+    short = candidate("a", "near", running=9, waiting=1, wait_ms=20.0)
+    long = candidate("b", "near", running=9, waiting=8, wait_ms=300.0)
+    for each in (short, long):
+        group.add(each)
+    found = choice.choose(
+        1.0,
+        group,
+        lambda each: False,
+        WORK_MS,
+        random.Random(1),
+        [long, short],
+    )
+    assert found is short
+
+
+def test_a_report_of_one_ping_ago_counts_in_full():
+    """Busy targets of a small fleet looked emptier than they were."""
+    busy = candidate("a", "near", running=9)
+    free = candidate("b", "near")
+    now_ms = choice.FRESH_MS - 50.0
+    busy_ms = busy.expected_ms(now_ms, WORK_MS, "near")
+    assert busy_ms > 1.05 * free.expected_ms(now_ms, WORK_MS, "near")
+    old_ms = choice.REPORT_FADES_MS + 1.0
+    assert busy.expected_ms(old_ms, WORK_MS, "near") == free.expected_ms(
+        old_ms, WORK_MS, "near"
+    )
