Let no request wait for a host that does not answer

Change: a request waits 0.15 s for a connection, and not at all for a node that was not reached; the attempts go on without it. Tests: test_a_request_does_not_wait_long_for_a_connection and test_a_node_that_was_not_reached_is_tried_again_without_a_request.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -57,6 +57,8 @@
       duty: whether it is kept without a request.
       ping_ms: time between pings while it has a duty.
       connected: whether it is open.
+      asked: whether a request was refused for the lack of a connection, so
+        that one more attempt is due.
       connecting: whether an attempt is under way.
       waiting: requests without an outcome.
       used_ms: when a request last used it.
@@ -67,6 +69,7 @@
     """
 
     __slots__ = (
+        "asked",
         "connected",
         "connecting",
         "duty",
@@ -84,6 +87,7 @@
         self.ping_ms = PING_MS
         self.connected = False
         self.connecting = False
+        self.asked = False
         self.waiting = 0
         self.used_ms = now_ms
         self.pinged_ms = -math.inf
@@ -97,7 +101,8 @@
         if self.connecting:
             return Step.NOTHING
         if not self.connected:
-            if wanted and now_ms >= self.retry_at_ms:
+            if (wanted or self.asked) and now_ms >= self.retry_at_ms:
+                self.asked = False
                 return Step.CONNECT
             if not wanted and now_ms - self.used_ms > IDLE_MS:
                 return Step.CLOSE
@@ -113,6 +118,10 @@
             return Step.PING
         return Step.NOTHING
 
+    def is_lost(self) -> bool:
+        """Whether the last attempt has failed: no request should wait."""
+        return not self.connected and self.failures > 0
+
     def interval_ms(self) -> float:
         """Time between pings now."""
         if self.waiting > 0:
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -22,6 +22,10 @@
 CONNECT_TIMEOUT_S = 0.6
 """Nodes of a region answer in milliseconds; one lost packet costs 0.2 s."""
 
+UNSENT_S = 0.15
+"""A request waits so long for a connection. It takes milliseconds to open one;
+later the node is lost, and the request can still be in time elsewhere."""
+
 UNREACHABLE_RETRY_MS = 200.0
 """Return time for a request whose node cannot be reached; a restarted process
 is back within seconds, and callers have one return."""
@@ -275,6 +279,13 @@
                 del self.waiting[number]
                 _settle(entry, unreachable(number))
 
+    def refuse_unsent_one(self, number: int) -> None:
+        """Refuses a request that still waits for a connection."""
+        entry = self.waiting.get(number)
+        if entry is not None and not entry.sent:
+            del self.waiting[number]
+            _settle(entry, unreachable(number))
+
     def lose_all(self, kind: errors.ErrorKind) -> None:
         """Nobody is left who could answer what waits."""
         self.lose_sent(kind)
@@ -283,8 +294,8 @@
     async def run(self, run: peering.Run) -> peering.Outcome:
         """Has the other node run a request."""
         now_ms = self.owner.now_ms()
-        known_gone = self.connection is None and self.watch.failures > 0
-        if self.leaving or (known_gone and now_ms < self.watch.retry_at_ms):
+        if self.leaving or self.watch.is_lost():
+            self.watch.asked = True
             return unreachable(run.number)
         entry = Waiting(run, self.loop.create_future(), now_ms)
         self.waiting[run.number] = entry
@@ -293,6 +304,7 @@
             self.send_run(entry)
         else:
             self.step()
+            self.loop.call_later(UNSENT_S, self.refuse_unsent_one, run.number)
         try:
             return await entry.future
         except asyncio.CancelledError:
--- a/tests/cover/test_mesh_linking.py
+++ b/tests/cover/test_mesh_linking.py
@@ -68,3 +68,18 @@
     watch.on_opened()
     watch.on_lost(5.0)
     assert watch.step(5.0) is Step.CONNECT
+
+
+def test_a_node_that_was_not_reached_is_tried_again_without_a_request():
+    """A request that waited for each attempt was held to its end."""
+    watch = linking.Watch(0.0)
+    watch.waiting = 1
+    assert watch.step(0.0) is Step.CONNECT
+    watch.on_failed(600.0)
+    watch.waiting = 0
+    assert watch.is_lost()
+    assert watch.step(900.0) is Step.NOTHING
+    watch.asked = True
+    assert watch.step(900.0) is Step.CONNECT
+    watch.on_opened()
+    assert not watch.is_lost()
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -215,3 +215,26 @@
         assert b" 400 " in await reader.readline()
         writer.close()
     assert not any(host.target.runs for host in fleet.hosts)
+
+
+async def test_a_request_does_not_wait_long_for_a_connection(fleet):
+    """A host without power answers nothing; its requests were held for it."""
+    hub = fleet.hosts[0].node.hub
+    link = hub.link_to(fleet.hosts[2].ip)
+    opened = link.connect
+    never = asyncio.Event()
+    link.drop_connection()
+    link.connect = never.wait
+    run = peering.Run(
+        1, "at", "booker", "r", 1, -1, True, 900.0, 500.0, 500.0,
+        b"GET", b"/", [], b"", "m", 0.0,
+    )  # fmt: skip
+    began_ms = hub.now_ms()
+    outcome = await link.run(run)
+    assert isinstance(outcome, peering.Refused)
+    assert not outcome.reached
+    assert hub.now_ms() - began_ms < 300.0
+    link.connect = opened
+    link.watch.on_failed(hub.now_ms())
+    assert isinstance(await link.run(run), peering.Refused)
+    await fleet.until(link.usable)
