--- a/src/auburnrock/shells/mesh/event_log.py
+++ b/src/auburnrock/shells/mesh/event_log.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import select
 import sys
 import time
 
@@ -17,6 +18,9 @@
 BUFFER_BYTES = 1 << 18
 """Lines that wait for a slow reader."""
 
+LINE_BYTES = select.PIPE_BUF
+"""Longest line, and longest piece that is written at once."""
+
 FLUSH_BYTES = 1 << 14
 """Lines are written together; one system call for each costs more."""
 
@@ -55,18 +59,22 @@
         self._append(now, event, fields)
 
     def flush(self) -> None:
-        """Writes what the reader takes at once."""
-        if not self.buffer:
-            return
-        try:
-            written = os.write(self.output, self.buffer)
-        except BlockingIOError:
-            return
-        except OSError:
-            # Nobody reads any more; there is nowhere left to say so.
-            self.buffer.clear()
-            return
-        del self.buffer[:written]
+        """Writes the whole lines that the reader takes at once.
+
+        Other processes may write to the same pipe: what is written in pieces
+        of at most PIPE_BUF bytes is not torn (POSIX, write).
+        """
+        while self.buffer:
+            end = self.buffer.rfind(b"\n", 0, LINE_BYTES) + 1
+            try:
+                os.write(self.output, self.buffer[:end])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is nowhere left to say so.
+                self.buffer.clear()
+                return
+            del self.buffer[:end]
 
     def _begin_second(self, second: int) -> None:
         self.second = second
@@ -86,7 +94,7 @@
         line = event_lines.line(
             int(now * 1_000), self.process, event, fields.items()
         )
-        data = line.encode() + b"\n"
+        data = line.encode()[: LINE_BYTES - 1] + b"\n"
         if len(self.buffer) + len(data) > BUFFER_BYTES:
             self.dropped += 1
         else:
