Bound what a target's answer may take; log frames that cannot be read

Cause: an answer whose head or body came without end was kept in memory until the deadline; a malformed frame ended its connection without a line. Change: heads of 64 KiB, bodies of 16 MiB, then the exchange fails and the connection is closed.

--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -24,6 +24,7 @@
     """One end of a connection between nodes.
 
     Attributes:
+      rejected: why this end has broken off the connection; empty otherwise.
       told: versions that this end last named.
       sent_bytes: bytes written by kind of message, over all connections.
     """
@@ -40,6 +41,7 @@
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.closed = False
+        self.rejected = ""
         self.told: peering.Versions | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -62,7 +64,7 @@
         while len(self.buffer) >= LENGTH_BYTES:
             size = int.from_bytes(self.buffer[:LENGTH_BYTES], "big")
             if size > FRAME_MAX:
-                self.abort()
+                self.reject(f"a frame of {size} bytes")
                 return
             end = LENGTH_BYTES + size
             if len(self.buffer) < end:
@@ -71,12 +73,16 @@
             del self.buffer[:end]
             try:
                 message = _DECODER.decode(frame)
-            except (msgspec.DecodeError, UnicodeDecodeError):
-                # Not a node of this version; the other end sees the reset.
-                self.abort()
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                self.reject(str(error))
                 return
             self.on_message(self, message)
 
+    def reject(self, reason: str) -> None:
+        """Ends the connection of what is no node of this version."""
+        self.rejected = reason
+        self.abort()
+
     def send(self, message: peering.Message) -> bool:
         """Sends a message; False if the connection has ended."""
         if self.closed or self.transport is None:
--- a/src/auburnrock/shells/mesh/http_client.py
+++ b/src/auburnrock/shells/mesh/http_client.py
@@ -18,6 +18,13 @@
 USER_TIMEOUT_MS = 3_000
 """Unacknowledged bytes end a connection after this: a lost peer is silent."""
 
+HEAD_MAX_BYTES = 1 << 16
+"""Longest head of an answer; a target in trouble may send one without end."""
+
+BODY_MAX_BYTES = 16 << 20
+"""Longest body: pages of the store have about 1.4 MB, answers of targets far
+less, and a node of 200 MB must bear several at once."""
+
 POOL_MAX = 32
 """Idle connections kept to one address."""
 
@@ -83,6 +90,8 @@
         self.body: list[bytes] = []
         self.unframed = False
         self.has_head = False
+        self.head_bytes = 0
+        self.body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the open connection."""
@@ -120,6 +129,15 @@
             if self.waiter is not None:
                 self.fail("bytes that are no answer")
             self.abort()
+            return
+        if not self.has_head:
+            self.head_bytes += len(data)
+        if self.head_bytes > HEAD_MAX_BYTES:
+            self.fail("a head without end")
+            self.abort()
+        elif self.body_bytes > BODY_MAX_BYTES:
+            self.fail("a body without end")
+            self.abort()
 
     def eof_received(self) -> bool:
         """The other end sends no more."""
@@ -158,7 +176,9 @@
 
     def on_body(self, body: bytes) -> None:
         """A part of the body was read."""
-        self.body.append(body)
+        self.body_bytes += len(body)
+        if self.body_bytes <= BODY_MAX_BYTES:
+            self.body.append(body)
 
     def on_message_complete(self) -> None:
         """The whole message was read."""
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -189,6 +189,12 @@
 
     def on_closed(self, connection: frames.FrameConnection) -> None:
         """The connection has ended."""
+        if connection.rejected:
+            self.owner.log.write(
+                "frame_unreadable",
+                peer=self.member.name,
+                reason=connection.rejected,
+            )
         if connection is self.connection:
             self.connection = None
             self.leaving = False
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -496,6 +496,12 @@
     def on_closed(self, connection: frames.FrameConnection) -> None:
         """A connection of another node has ended."""
         inbound = self.inbound.pop(connection, None)
+        if connection.rejected:
+            self.log.write(
+                "frame_unreadable",
+                peer=inbound.name if inbound else "",
+                reason=connection.rejected,
+            )
         if inbound is not None:
             for idempotent, wait_s in (
                 (True, IDEMPOTENT_ORPHAN_S),
--- /dev/null
+++ b/tests/cover/test_mesh_http_client.py
@@ -0,0 +1,65 @@
+"""Targets in trouble: bytes that are no answer, also without end."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from auburnrock.shells import clock
+from auburnrock.shells.mesh import http_client
+
+ENDLESS = {
+    "a head of many headers": (b"HTTP/1.1 200 OK\r\n", b"x-a: 1234567\r\n"),
+    "one header without end": (b"HTTP/1.1 200 OK\r\nx-a: ", b"1" * 64),
+    "a body until the close": (b"HTTP/1.1 200 OK\r\n\r\n", b"1" * 4_096),
+    "a body of endless chunks": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"1" * 4_096 + b"\r\n",
+    ),
+    "a body of a stated length": (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n",
+        b"1" * 4_096,
+    ),
+    "bytes that are no answer": (b"", b"\x00\xff" * 512),
+}
+
+
+class Torrent:
+    """A server that sends a beginning, then the same bytes without end."""
+
+    def __init__(self, beginning: bytes, piece: bytes):
+        self.beginning = beginning
+        self.piece = piece
+        self.sent = 0
+        self.closed = asyncio.Event()
+
+    async def answer(self, reader, writer):
+        writer.write(self.beginning)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(self.piece)
+                self.sent += len(self.piece)
+                await writer.drain()
+        self.closed.set()
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+async def test_an_answer_without_end_fails_within_bounds(name):
+    torrent = Torrent(*ENDLESS[name])
+    server = await asyncio.start_server(torrent.answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    client = http_client.Client(f"{host}:{port}", clock.exact_ms)
+    connection = await client.connect(1_000.0)
+    data = http_client.encode_request(b"GET", b"/", [(b"host", b"a")], b"")
+    async with asyncio.timeout(10.0):
+        with pytest.raises(http_client.BrokenError):
+            await connection.exchange(data, lambda answer: True)
+        await torrent.closed.wait()
+    client.give_back(connection)
+    assert not client.idle
+    kept = sum(len(part) for part in connection.body)
+    assert kept <= http_client.BODY_MAX_BYTES
+    # What the buffers of the two ends hold besides.
+    assert torrent.sent < http_client.BODY_MAX_BYTES + (16 << 20)
+    server.close()
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 import pytest_asyncio
@@ -238,3 +239,28 @@
     link.watch.on_failed(hub.now_ms())
     assert isinstance(await link.run(run), peering.Refused)
     await fleet.until(link.usable)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xff\xff\xff" + b"x" * 64,
+        b"\x00\x00\x00\x03\xc1\xc1\xc1",
+        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 9,
+        # A message of a kind that is not known here.
+        b"\x00\x00\x00\x02\x91\x63",
+    ],
+)
+async def test_bytes_that_are_no_frame_end_their_connection_only(fleet, data):
+    hub = fleet.hosts[0].node.hub
+    counts = hub.log.counts
+    before = counts.get("frame_unreadable", 0)
+    host, _, port = fleet.hosts[0].addresses["peer"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    with contextlib.suppress(ConnectionError):
+        assert await reader.read() == b""
+    writer.close()
+    await fleet.until(lambda: counts.get("frame_unreadable", 0) > before)
+    status, _, _ = await fleet.ask(fleet.hosts[0], "/lookup/x", key=9)
+    assert status == 200
