--- a/src/auburnrock/engine/mesh/membership.py
+++ b/src/auburnrock/engine/mesh/membership.py
@@ -185,6 +185,10 @@
         self._put(now_ms, entry)
         return entry
 
+    def strangers(self) -> list[str]:
+        """Nodes with an entry whose record is not known."""
+        return [name for name in self.entries if name not in self.members]
+
     def alive(self) -> set[str]:
         """Members that nobody has called silent, without this node."""
         return {
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -248,7 +248,7 @@
     async def tick_always(self) -> None:
         """Checks waiting requests and writes the log."""
         flushed_s = 0.0
-        stated_ms = self.started_ms
+        stated_ms = looked_ms = self.started_ms
         while True:
             self.executor.tick()
             self.hub.tick()
@@ -266,6 +266,9 @@
                     self.settings.ip, self.executor.report()
                 )
             await asyncio.sleep(pause_s)
+            if self.now_ms() - looked_ms > telling.MEMBERS_EVERY_MS:
+                looked_ms = self.now_ms()
+                self.telling.look_for_records()
             if self.now_ms() - stated_ms > STATE_EVERY_MS:
                 stated_ms = self.now_ms()
                 self.log_state()
@@ -318,13 +321,18 @@
         )
 
     def has_read(self) -> bool:
-        """Whether this process has read the store."""
-        known = self.dispatcher.configuration is not None
-        return known and self.ownership.witness.ready
+        """Whether this process has read the store.
+
+        Before the operator's first configuration there is none to be known.
+        """
+        has_listed = self.configuration_sync.fresh_ms > 0.0
+        return has_listed and self.ownership.witness.ready
 
     def is_uninformed(self) -> bool:
         """Whether this process knows less than its peers do."""
-        return not self.has_read() or self.executor.target is None
+        known = self.dispatcher.configuration is not None
+        has_all = known and self.ownership.witness.ready
+        return not has_all or self.executor.target is None
 
     def items(self) -> list[tuple[str, bytes, int]]:
         """The store's items as known here."""
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import random
 
 import msgspec
 
@@ -98,6 +99,7 @@
       inbound: connections that others have opened.
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
+      chance: chooses whom to ask.
       assigned: witnesses for which duties were last assigned.
       started_ms: start of this process.
       members_ms: when a record was last added or removed.
@@ -150,6 +152,7 @@
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
+        self.chance = random.Random()
         self.started_ms = now_ms()
         self.members_ms = now_ms()
         self.members_changed = False
@@ -369,6 +372,16 @@
             if link is not None and name != giver:
                 link.send(message)
 
+    def ask_any_neighbour(self, message: peering.Message) -> None:
+        """Asks one neighbour, another one each time."""
+        links = [
+            link
+            for name in self.neighbours
+            if (link := self.links.get(name)) is not None and link.usable()
+        ]
+        if links:
+            self.chance.choice(links).send(message)
+
     def snapshot_for(self, hello: peering.Hello) -> peering.Snapshot:
         """What this node knows and the other one lacks."""
         former = self.directory.entries.get(hello.name)
@@ -391,6 +404,8 @@
             told = self.on_want(message)
             if told is not None:
                 link.send(told)
+        elif isinstance(message, peering.Told):
+            self.on_told(link.member.name, message)
 
     def say_bye(self) -> None:
         """Tells all nodes to send no more requests here."""
@@ -446,6 +461,10 @@
             self.on_told(inbound.name, message)
         elif isinstance(message, peering.TableTold):
             self.on_table_told(inbound.name, message)
+        elif isinstance(message, peering.Want):
+            told = self.on_want(message)
+            if told is not None:
+                connection.send(told)
         elif isinstance(message, peering.Has):
             if self.on_has(message):
                 connection.send(peering.Want(message.key, message.revision))
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -40,6 +40,13 @@
 """Between two readings of the store for nodes that connect without a known
 record; many start together."""
 
+STRANGERS_MAX = 8
+"""Unknown records that are asked for at a time."""
+
+STRANGER_FORGOTTEN_MS = 15_000.0
+"""The entry of a node without a record is dropped after this; what it says
+next makes it known again."""
+
 SNAPSHOTS = 3
 """Peers asked at a time for all that they know; one may be behind."""
 
@@ -62,6 +69,7 @@
       item: one item of the store as known here.
       readers_known: the readers, and the state of the directory and of the
         records that they were worked out from.
+      strangers: since when nodes with an entry have no record, by name.
       asked_for: highest version by service, or "" for the configuration, for
         which the store was read.
       asked_for_members_ms: when it was last read for an unknown record.
@@ -92,6 +100,7 @@
         self.changes: dict[tuple[str, int], peering.TableTold] = {}
         self.item: Callable[[str], tuple[str, bytes, int] | None]
         self.readers_known: tuple[tuple, list[str]] | None = None
+        self.strangers: dict[str, float] = {}
         self.asked_for: dict[str, int] = {}
         self.asked_for_members_ms = 0.0
         self.snapshots_since_ms = 0.0
@@ -249,6 +258,23 @@
             self.log.write("peer_without_record", peer=name)
             self.own_sync.list_again()
 
+    def look_for_records(self) -> None:
+        """Asks neighbours for records that nobody has told of here.
+
+        A node whose entry has no record for long has lost it for good.
+        """
+        now_ms = self.now_ms()
+        strangers = self.hub.directory.strangers()
+        for name in self.strangers.keys() - set(strangers):
+            del self.strangers[name]
+        for name in strangers[:STRANGERS_MAX]:
+            since_ms = self.strangers.setdefault(name, now_ms)
+            if now_ms - since_ms > STRANGER_FORGOTTEN_MS:
+                del self.hub.directory.entries[name]
+            elif now_ms - since_ms >= MEMBERS_EVERY_MS:
+                key = self.ownership.view.member_key(name)
+                self.hub.ask_any_neighbour(peering.Want(key, 0))
+
     def later(self, check: Callable[..., None], *values: object) -> None:
         """Checks something once what a reader told has had time to come."""
         loop = asyncio.get_running_loop()
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -201,3 +201,21 @@
     assert last.telling.table_version("portal") == known.version
     last.hub.on_table_told("y", first)
     assert last.ownership.view.tables["portal"][0] == latest
+
+
+async def test_a_record_that_was_missed_is_asked_for_from_a_neighbour(fleet):
+    """Four records were missed for eight seconds; whole directories were
+    compared again and again, as their sums differed."""
+    last = fleet.hosts[4].node
+    missed = fleet.hosts[1].ip
+    calls = last.store.calls
+    last.own_sync.known.pop(f"auburnrock/m/{missed}")
+    last.ownership.view.raw.pop(f"auburnrock/m/{missed}")
+    last.ownership.view.members.pop(missed)
+    members = last.ownership.view.records()
+    entry = last.hub.directory.entries[missed]
+    last.hub.set_members(members)
+    last.hub.directory.take(last.now_ms(), [entry])
+    assert missed not in last.hub.members
+    await fleet.until(lambda: missed in last.hub.members, 4.0)
+    assert last.store.calls - calls <= 1
