Keep ticking after a fault in a tick

Cause: the connections are now looked after in the node's tick; a fault there would have ended it without a line. Test: test_a_fault_in_one_tick_does_not_end_the_ticks.

--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -49,7 +49,7 @@
 OWN_PAUSE_S = 0.05
 """Changes that come together are read with one call."""
 
-FLUSH_S = 0.1
+FLUSH_MS = 100.0
 """Log lines are written this late at most."""
 
 STATE_EVERY_MS = 5_000.0
@@ -120,6 +120,7 @@
             self.now_ms,
         )
         self.started_ms = now_ms
+        self.flushed_ms = self.looked_ms = self.stated_ms = now_ms
         self.hub = peers.Hub(
             settings.ip,
             secrets.token_hex(6),
@@ -246,32 +247,37 @@
         self.log.flush()
 
     async def tick_always(self) -> None:
-        """Checks waiting requests and writes the log."""
-        flushed_s = 0.0
-        stated_ms = looked_ms = self.started_ms
+        """Checks waiting requests and connections, and writes the log."""
         while True:
-            self.executor.tick()
-            self.hub.tick()
-            known = not self.is_uninformed()
-            if known or self.now_ms() - self.started_ms > UNTOLD_MS:
-                self.hub.tell_own(self.own_entry())
+            try:
+                self.tick()
+            except Exception as error:
+                # Without its ticks this node would reach nobody.
+                self.on_fault(error, "tick")
             pause_s = IDLE_TICK_S
             if self.executor.room.waiting_now:
                 pause_s = executor.OVERDUE_EVERY_S
-            flushed_s += pause_s
-            if flushed_s >= FLUSH_S:
-                flushed_s = 0.0
-                self.log.flush()
-                self.dispatcher.take_report(
-                    self.settings.ip, self.executor.report()
-                )
             await asyncio.sleep(pause_s)
-            if self.now_ms() - looked_ms > telling.MEMBERS_EVERY_MS:
-                looked_ms = self.now_ms()
-                self.telling.look_for_records()
-            if self.now_ms() - stated_ms > STATE_EVERY_MS:
-                stated_ms = self.now_ms()
-                self.log_state()
+
+    def tick(self) -> None:
+        """One round of what needs no answer."""
+        now_ms = self.now_ms()
+        self.executor.tick()
+        self.hub.tick()
+        if not self.is_uninformed() or now_ms - self.started_ms > UNTOLD_MS:
+            self.hub.tell_own(self.own_entry())
+        if now_ms - self.flushed_ms >= FLUSH_MS:
+            self.flushed_ms = now_ms
+            self.log.flush()
+            self.dispatcher.take_report(
+                self.settings.ip, self.executor.report()
+            )
+        if now_ms - self.looked_ms >= telling.MEMBERS_EVERY_MS:
+            self.looked_ms = now_ms
+            self.telling.look_for_records()
+        if now_ms - self.stated_ms >= STATE_EVERY_MS:
+            self.stated_ms = now_ms
+            self.log_state()
 
     def log_state(self) -> None:
         """Logs what this node keeps open and has sent."""
@@ -448,9 +454,9 @@
         """Takes a new version of a service's key table."""
         self.dispatcher.tables[service] = table
 
-    def on_fault(self, error: Exception) -> None:
+    def on_fault(self, error: Exception, where: str = "request") -> None:
         """Logs a failure of this program itself."""
-        self.log.write("fault", where="request", error=repr(error))
+        self.log.write("fault", where=where, error=repr(error))
 
     async def answer_ready(
         self, request: http_server.Request
--- a/tests/cover/test_mesh_changes.py
+++ b/tests/cover/test_mesh_changes.py
@@ -175,3 +175,20 @@
     status, _, headers = await fleet.ask(fleet.hosts[0], "/check/x")
     assert status == 503
     assert float(headers["retry-after"]) > 0
+
+
+async def test_a_fault_in_one_tick_does_not_end_the_ticks(fleet):
+    node = fleet.hosts[0].node
+    tick = node.hub.tick
+    failed = []
+
+    def fail_once() -> None:
+        if not failed:
+            failed.append(True)
+            raise ValueError("unforeseen")
+        tick()
+
+    node.hub.tick = fail_once
+    await fleet.until(lambda: node.log.counts.get("fault"))
+    ticked_ms = node.hub.ticked_ms
+    await fleet.until(lambda: node.hub.ticked_ms > ticked_ms)
