Look at a connection when something is due on it

Change: each connection says when something is due; owners that are gone are looked for three times a second; garbage is collected after 10,000 new objects. Tests: test_nothing_is_due_before_the_time_that_is_named.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -107,9 +107,10 @@
             if not wanted and now_ms - self.used_ms > IDLE_MS:
                 return Step.CLOSE
             return Step.NOTHING
-        limit_ms = max(SILENT_MS, SILENT_PINGS * self.interval_ms())
-        if self.unanswered_ms and now_ms - self.unanswered_ms > limit_ms:
-            return Step.GIVE_UP
+        if self.unanswered_ms:
+            silent_ms = now_ms - self.unanswered_ms
+            if silent_ms > self._silent_limit_ms():
+                return Step.GIVE_UP
         if not wanted:
             if now_ms - self.used_ms > IDLE_MS:
                 return Step.CLOSE
@@ -118,6 +119,26 @@
             return Step.PING
         return Step.NOTHING
 
+    def due_ms(self, now_ms: float) -> float:
+        """When there may be something to do, if nothing happens before.
+
+        A node of a large fleet keeps tens of connections, and looks at most of
+        them once a second.
+        """
+        if self.connecting or not self.connected:
+            return now_ms
+        times = []
+        if self.unanswered_ms:
+            times.append(self.unanswered_ms + self._silent_limit_ms())
+        if self.duty or self.waiting > 0:
+            times.append(self.pinged_ms + self.interval_ms())
+        else:
+            times.append(self.used_ms + IDLE_MS)
+        return min(times)
+
+    def _silent_limit_ms(self) -> float:
+        return max(SILENT_MS, SILENT_PINGS * self.interval_ms())
+
     def is_lost(self) -> bool:
         """Whether the last attempt has failed: no request should wait."""
         return not self.connected and self.failures > 0
--- a/src/auburnrock/programs/mesh_node.py
+++ b/src/auburnrock/programs/mesh_node.py
@@ -14,6 +14,10 @@
 from auburnrock.shells.mesh import dialect as dialect_module
 from auburnrock.shells.mesh import node as node_module
 
+GARBAGE_THRESHOLD = 10_000
+"""New objects before a collection; requests leave few cycles behind, and the
+default of 700 collects several times a request."""
+
 
 async def serve() -> int:
     """Runs the node until it is asked to stop."""
@@ -35,6 +39,7 @@
     await node.start()
     # What the imports made stays; collecting it again only costs time.
     gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
     await node.stopped.wait()
     return 0
 
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -101,6 +101,7 @@
       leaving: whether the other process has said that it ends.
       waiting: requests without an outcome, by number.
       questions: questions without an answer, by what they ask.
+      due_ms: when the next step is due.
       news: entries to tell the other node soon, by name.
     """
 
@@ -117,11 +118,17 @@
         self.waiting: dict[int, Waiting] = {}
         self.questions: dict[tuple, list[asyncio.Future]] = {}
         self.news: dict[str, membership.Entry] = {}
+        self.due_ms = 0.0
         self.opening: asyncio.Task | None = None
 
     def step(self) -> bool:
         """Does what is due now; False if the link is no longer needed."""
         now_ms = self.owner.now_ms()
+        still_needed = self._step(now_ms)
+        self.due_ms = self.watch.due_ms(now_ms)
+        return still_needed
+
+    def _step(self, now_ms: float) -> bool:
         self.watch.waiting = len(self.waiting) + len(self.questions)
         step = self.watch.step(now_ms)
         if step is linking.Step.CONNECT:
@@ -199,6 +206,7 @@
             self.connection = None
             self.leaving = False
             self.watch.on_lost(self.owner.now_ms())
+            self.due_ms = 0.0
             if self.waiting:
                 self.step()
 
@@ -209,6 +217,7 @@
             self.connection = None
             self.leaving = False
             self.watch.on_lost(self.owner.now_ms())
+            self.due_ms = 0.0
             connection.abort()
 
     def on_message(
@@ -306,6 +315,7 @@
         entry = Waiting(run, self.loop.create_future(), now_ms)
         self.waiting[run.number] = entry
         self.watch.used_ms = now_ms
+        self.due_ms = 0.0
         if self.connection is not None and self.greeted:
             self.send_run(entry)
         else:
@@ -326,6 +336,7 @@
         """Asks about a node; None without an answer in time."""
         future = self.loop.create_future()
         self.questions.setdefault(mark, []).append(future)
+        self.due_ms = 0.0
         try:
             async with asyncio.timeout(timeout_s):
                 if await self.is_greeted():
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -32,6 +32,9 @@
 """An owner without a record for this long has none; news of a record comes
 within a second."""
 
+ADOPT_EVERY_MS = 300.0
+"""Between two looks for owners that are gone; they were lost seconds ago."""
+
 GONE_MAX = 8
 """Lost owners whose keys one change moves, beside those it gives keys to."""
 
@@ -47,6 +50,7 @@
       planned: state of all that a plan looks at, when it was last looked at.
       planned_ms: when that was.
       listed_ms: when the store was last listed for the first deal.
+      adopted_ms: when it last looked for owners that are gone.
       missing_since_ms: since when owners have no record, by name.
       basis: what the last plan was made from.
       gather_since_ms: when the first of the released keys was; None if none.
@@ -59,6 +63,7 @@
         self.planned: tuple = ()
         self.planned_ms = 0.0
         self.listed_ms = 0.0
+        self.adopted_ms = 0.0
         self.missing_since_ms: dict[str, float] = {}
         self.basis: tuple = ()
         self.gather_since_ms: float | None = None
@@ -235,6 +240,9 @@
         gave it keys. Without a record it has no lease, and it registers anew
         only beside the table that it knows.
         """
+        if now_ms - self.adopted_ms < ADOPT_EVERY_MS:
+            return
+        self.adopted_ms = now_ms
         service = self.settings.service
         known = self.view.tables.get(service)
         if known is None or now_ms - self.started_ms < parts_module.SETTLE_MS:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -271,6 +271,7 @@
         is_small = self.is_small()
         for name, link in self.links.items():
             link.watch.duty = name in duties
+            link.due_ms = 0.0
             link.watch.ping_ms = linking.NEIGHBOUR_PING_MS
             if name in witnesses:
                 link.watch.ping_ms = linking.WITNESS_PING_MS
@@ -298,7 +299,7 @@
             if link.news and link.greeted and link.connection is not None:
                 link.send(peering.News(list(link.news.values())))
                 link.news.clear()
-            if not link.step():
+            if now_ms >= link.due_ms and not link.step():
                 link.stop()
                 del self.links[name]
 
--- a/tests/cover/test_mesh_linking.py
+++ b/tests/cover/test_mesh_linking.py
@@ -1,5 +1,7 @@
 """When connections between nodes are opened, pinged, given up and closed."""
 
+import random
+
 from auburnrock.engine.mesh import linking
 
 Step = linking.Step
@@ -83,3 +85,28 @@
     assert watch.step(900.0) is Step.CONNECT
     watch.on_opened()
     assert not watch.is_lost()
+
+
+def test_nothing_is_due_before_the_time_that_is_named():
+    """Else a lost connection or an idle one would be noticed late."""
+    chance = random.Random(5)
+    for _ in range(2_000):
+        watch = opened(0.0, duty=chance.random() < 0.5)
+        watch.waiting = chance.choice((0, 0, 1))
+        watch.ping_ms = chance.choice((300.0, 450.0, 1_000.0))
+        watch.used_ms = chance.uniform(0.0, 5_000.0)
+        watch.pinged_ms = chance.uniform(0.0, 5_000.0)
+        if chance.random() < 0.5:
+            watch.unanswered_ms = chance.uniform(1.0, 5_000.0)
+        due_ms = watch.due_ms(5_000.0)
+        for now_ms in (5_000.0, due_ms - 0.01):
+            if 5_000.0 <= now_ms < due_ms:
+                assert watch.step(now_ms) is Step.NOTHING
+        later_ms = max(due_ms, 5_000.0) + 1.0
+        assert watch.step(later_ms) is not Step.NOTHING
+
+
+def test_a_connection_that_is_being_opened_is_looked_at_each_time():
+    watch = linking.Watch(0.0)
+    watch.connecting = True
+    assert watch.due_ms(7.0) == 7.0
