--- /dev/null
+++ b/tools/account.py
@@ -0,0 +1,80 @@
+"""Says what a played day's requests were lost to, from the nodes' log lines.
+
+    ./task account LOG
+
+LOG is what the bench printed with `--log all`. For each service and span of
+time, the requests that were answered late, refused or failed, by cause. Lines
+beyond a node's budget of lines are told apart: each kind then counts too low.
+"""
+
+import collections
+import re
+
+from absl import app
+from absl import flags
+
+_SPAN_S = flags.DEFINE_float("span_s", 2.0, "Seconds of a row.")
+_FROM_S = flags.DEFINE_float("from_s", 0.0, "First second.")
+
+_LINE = re.compile(r"^\s*(-?[\d.]+) \S+ .*?\bevent=(\S+)(.*)$")
+_FIELD = re.compile(r"(\w+)=(\S+)")
+
+Counts = dict[tuple[int, str], collections.Counter]
+
+
+def cause_of(event: str, fields: dict[str, str]) -> str:
+    """What a request was lost to; empty if its line tells of no loss."""
+    outcome = event.removeprefix("request_")
+    if outcome == "late":
+        work_ms = int(fields["kind"].removeprefix("work_"))
+        took_ms = int(fields["took_ms"])
+        if took_ms < 2 * work_ms:
+            return "late: its work, or came back"
+        return "late: waited"
+    if outcome in ("refused", "failed", "unknown"):
+        return f"{outcome}: {fields['kind']}"
+    return ""
+
+
+def read(lines: list[str], from_s: float, span_s: float) -> tuple[Counts, int]:
+    """Losses by span and service, and how many lines were left out."""
+    counts: Counts = collections.defaultdict(collections.Counter)
+    left_out = 0
+    for line in lines:
+        found = _LINE.match(line)
+        if found is None or float(found[1]) < from_s:
+            continue
+        fields = dict(_FIELD.findall(found[3]))
+        if found[2] == "lines_left_out":
+            left_out += sum(
+                int(count)
+                for name, count in fields.items()
+                if name.startswith("n_request_")
+            )
+        elif found[2].startswith("request_") and "service" in fields:
+            cause = cause_of(found[2], fields)
+            if cause:
+                span = int(float(found[1]) // span_s)
+                counts[span, fields["service"]][cause] += 1
+    return counts, left_out
+
+
+def main(argv: list[str]) -> None:
+    """Prints the account of one day."""
+    if len(argv) != 2:
+        raise app.UsageError("one log is needed")
+    with open(argv[1], encoding="utf-8", errors="replace") as log:
+        counts, left_out = read(list(log), _FROM_S.value, _SPAN_S.value)
+    totals: dict[str, collections.Counter] = {}
+    for (span, service), causes in sorted(counts.items()):
+        totals.setdefault(service, collections.Counter()).update(causes)
+        shown = ", ".join(f"{n} {cause}" for cause, n in causes.most_common(6))
+        print(f"{span * _SPAN_S.value:6.1f} {service}: {shown}")
+    for service, causes in totals.items():
+        shown = ", ".join(f"{n} {cause}" for cause, n in causes.most_common())
+        print(f"whole day {service}: {shown}")
+    print(f"lines of requests that were left out: {left_out}")
+
+
+if __name__ == "__main__":
+    app.run(main)
