Keep slots from late requests, and see a slow target by what runs there

And a target that had become 12 times slower kept its pace for four seconds, since work times are known when requests end.

Change: a late request starts only if 16% of the slots stay free for those in time (trunk reservation); what waits must fit 1.2 of its expected work before its objective. A target counts as slow when what runs is 1.8 times older than usual; its report and its refusals say so at once.

--- a/src/auburnrock/engine/mesh/waiting.py
+++ b/src/auburnrock/engine/mesh/waiting.py
@@ -5,6 +5,10 @@
 every answer late. So a request waits only if, by the work ahead of it, it can
 still be answered within its objective. What cannot is refused on arrival,
 with the time after which there is room again.
+
+Load answered besides: a target that has just become many times slower. Its
+work times tell of it only when requests end, which is late; those that run
+tell of it by their age.
 """
 
 import heapq
@@ -14,13 +18,33 @@
 RUNNING_LEFT = 0.5
 """Share of its expected time that a running request has left, on average."""
 
+USUAL_AGE = 0.6
+"""Age of the running requests over their expected time, on average; it would be
+a half if all took equally long."""
+
+SLOW = 1.8
+"""Age over the usual one from which on the target counts as slow: with three
+requests whose spread is a third of the mean, three deviations."""
+
+SLOW_RUNNING_MIN = 3
+"""Requests that must run for that."""
+
 LATE_LANE_SHARE = 0.12
 """Late requests that may wait, as a share of the slots: they run only in the
 gaps that requests in time leave, and must not wait in vain."""
 
-IN_TIME_SHARE = 0.8
-"""A request counts as late once less than this share of its expected work
-fits before its objective; half of all requests take less than the mean."""
+IN_TIME_SHARE = 1.0
+"""A request counts as late once less than this much of its expected work fits
+before its objective; more than half of all requests take less than the mean."""
+
+ADMITTED_SHARE = 1.2
+"""And is let in to wait only if this much fits: some waits are longer than
+expected."""
+
+RESERVED_SHARE = 0.16
+"""Slots that are kept from late requests, for those that may come in time
+(trunk reservation): a late answer has lost most of its worth, and while all
+slots are busy each one displaces an answer in time."""
 
 DEFAULT_WORK_SHARE = 0.4
 """Expected work before the first sample, as a share of the objective."""
@@ -167,27 +191,44 @@
             ticket.kind, ticket.objective_ms
         )
         ticket.order = _order(ticket)
-        if len(self.running) < self.slots and not self.waiting_now:
+        if self._may_start(now_ms, ticket):
             return self._start(now_ms, ticket)
-        wait_ms = self.wait_ms(ticket)
+        wait_ms = self.wait_ms(now_ms, ticket)
         if 0.0 <= ticket.patience_ms < wait_ms:
             return self._refuse(ticket, wait_ms)
-        ends_ms = now_ms + wait_ms + ticket.expected_ms
-        if ends_ms > ticket.deadline_at_ms:
+        slowness = self.slowness(now_ms)
+        work_ms = ticket.expected_ms * slowness
+        if now_ms + wait_ms + work_ms > ticket.deadline_at_ms:
             return self._refuse(ticket, wait_ms)
-        if ends_ms > ticket.objective_at_ms:
+        likely_ms = wait_ms + ADMITTED_SHARE * work_ms
+        if now_ms + likely_ms > ticket.objective_at_ms:
             # Cancelled ones leave the lane only when it is looked through.
             self.late = [
                 entry for entry in self.late if entry[1] in self.waiting_now
             ]
             heapq.heapify(self.late)
-            if len(self.late) >= self.slots * LATE_LANE_SHARE:
+            late = len(self.late)
+            if slowness > 1.0:
+                # No slot frees soon, so none of them has been found late.
+                late = len(self.waiting_now)
+            if late >= self.slots * LATE_LANE_SHARE:
                 return self._refuse(ticket, wait_ms)
         heapq.heappush(self.waiting, (ticket.order, ticket.number, ticket))
         self.waiting_now[ticket.number] = ticket
         return Wait(ticket)
 
-    def wait_ms(self, ticket: Ticket | None = None) -> float:
+    def slowness(self, now_ms: float) -> float:
+        """How much longer than expected the running ones take; 1 if not."""
+        if len(self.running) < SLOW_RUNNING_MIN:
+            return 1.0
+        age_ms = expected_ms = 0.0
+        for ticket in self.running.values():
+            age_ms += now_ms - ticket.started_ms
+            expected_ms += ticket.expected_ms
+        slowness = age_ms / (USUAL_AGE * expected_ms)
+        return slowness if slowness >= SLOW else 1.0
+
+    def wait_ms(self, now_ms: float, ticket: Ticket | None = None) -> float:
         """Expected wait of a ticket, or of the last in the queue."""
         if len(self.running) < self.slots and not self.waiting_now:
             return 0.0
@@ -197,7 +238,7 @@
         for other in self.waiting_now.values():
             if ticket is None or other.order <= ticket.order:
                 ahead_ms += other.expected_ms
-        return ahead_ms / max(1, self.slots)
+        return ahead_ms * self.slowness(now_ms) / max(1, self.slots)
 
     def finish(
         self, now_ms: float, number: int, completed: bool
@@ -224,7 +265,7 @@
                 break
             least_ms = 0.5 * ticket.expected_ms
             if now_ms + least_ms > ticket.deadline_at_ms:
-                decided.append(self._refuse(ticket, self.wait_ms()))
+                decided.append(self._refuse(ticket, self.wait_ms(now_ms)))
             else:
                 decided.append(self._start(now_ms, ticket))
         return decided
@@ -241,24 +282,42 @@
             ticket = entry[2]
             if ticket.number not in self.waiting_now:
                 continue
-            least_ms = IN_TIME_SHARE * ticket.expected_ms
-            if now_ms + least_ms > ticket.objective_at_ms:
+            if self._is_late(now_ms, ticket):
                 heapq.heappush(self.late, entry)
                 continue
             return self.waiting_now.pop(ticket.number)
+        if len(self.running) >= self.slots - self._reserved():
+            return None
         while self.late:
             ticket = heapq.heappop(self.late)[2]
             if self.waiting_now.pop(ticket.number, None) is not None:
                 return ticket
         return None
 
+    def _may_start(self, now_ms: float, ticket: Ticket) -> bool:
+        """Whether a request that has just come need not wait.
+
+        Those that wait while a slot is free are late.
+        """
+        free = self.slots - len(self.running)
+        if self._is_late(now_ms, ticket):
+            return free > self._reserved() and not self.waiting_now
+        return free > 0
+
+    def _is_late(self, now_ms: float, ticket: Ticket) -> bool:
+        least_ms = IN_TIME_SHARE * ticket.expected_ms
+        return now_ms + least_ms > ticket.objective_at_ms
+
+    def _reserved(self) -> int:
+        return int(self.slots * RESERVED_SHARE)
+
     def overdue(self, now_ms: float) -> list[Refuse]:
         """Turns away the waiting requests that can no longer be served."""
         refused = []
         for number, ticket in list(self.waiting_now.items()):
             if now_ms + 0.5 * ticket.expected_ms > ticket.deadline_at_ms:
                 del self.waiting_now[number]
-                refused.append(self._refuse(ticket, self.wait_ms()))
+                refused.append(self._refuse(ticket, self.wait_ms(now_ms)))
         return refused
 
     def _start(self, now_ms: float, ticket: Ticket) -> Start:
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -190,8 +190,8 @@
             len(self.room.running),
             len(self.room.waiting_now),
             # Whole numbers take a few bytes, and a peer gets many of these.
-            round(self.room.wait_ms()),
-            self.pace.mean,
+            round(self.room.wait_ms(now_ms)),
+            self.pace.mean * self.room.slowness(now_ms),
             self.drain_since_ms is not None,
             round(max(0.0, self.cold_until_ms - now_ms)),
             self.pace.weight(self.room.slots),
--- a/tests/cover/test_mesh_waiting.py
+++ b/tests/cover/test_mesh_waiting.py
@@ -1,6 +1,7 @@
 """Waiting at a target, also at loads that it cannot bear."""
 
 import heapq
+import itertools
 import random
 
 from auburnrock.engine.mesh import waiting
@@ -145,3 +146,161 @@
     impatient.patience_ms = 5.0
     assert isinstance(room.offer(0, impatient), waiting.Refuse)
     assert isinstance(room.offer(0, mesh.ticket(3, 0)), waiting.Wait)
+
+
+def running_room(count, now_ms=0.0):
+    room = waiting.WaitingRoom(13)
+    for _ in range(30):
+        room.work.add("lookup", 60.0)
+    for number in range(count):
+        room.offer(now_ms, mesh.ticket(number, now_ms, objective_ms=200))
+    return room
+
+
+def test_a_target_is_called_slow_as_soon_as_what_runs_is_too_old():
+    """A target that took twelve times as long kept its pace for four seconds,
+    since its work times are those of requests that have ended."""
+    room = running_room(6)
+    assert room.slowness(50.0) == 1.0
+    assert room.slowness(120.0) > 3.0
+    assert room.slowness(400.0) > 10.0
+
+
+def test_two_long_requests_make_no_slow_target():
+    assert running_room(2).slowness(400.0) == 1.0
+
+
+def test_ordinary_scatter_seldom_makes_a_target_slow():
+    # 13 slots, three quarters busy, work whose spread is a third of its mean.
+    chance = random.Random(5)
+    room = running_room(0)
+    ends: list[tuple[float, int]] = []
+    slow = 0
+    now_ms = 0.0
+
+    def start(decisions):
+        for decision in decisions:
+            if isinstance(decision, waiting.Start):
+                took_ms = max(15.0, chance.gauss(60.0, 20.0))
+                heapq.heappush(ends, (now_ms + took_ms, decision.ticket.number))
+
+    for number in range(20_000):
+        next_ms = now_ms + chance.expovariate(0.75 * 13 / 60.0)
+        while ends and ends[0][0] <= next_ms:
+            now_ms, ended = heapq.heappop(ends)
+            start(room.finish(now_ms, ended, True))
+        now_ms = next_ms
+        ticket = mesh.ticket(number, now_ms, objective_ms=200)
+        start([room.offer(now_ms, ticket)])
+        slow += room.slowness(now_ms) > 1.0
+    assert slow < 20
+
+
+def test_a_slow_target_refuses_what_it_would_answer_late():
+    room = running_room(13)
+    decisions = [
+        room.offer(300.0, mesh.ticket(100 + n, 300.0, objective_ms=200))
+        for n in range(10)
+    ]
+    # Two may wait for a gap in which to be answered late.
+    refused = [isinstance(each, waiting.Refuse) for each in decisions]
+    assert refused == [False] * 2 + [True] * 8
+
+
+def late_ticket(number, now_ms):
+    """One that came back: its objective ends before its work could."""
+    ticket = mesh.ticket(number, now_ms, objective_ms=200)
+    ticket.objective_at_ms = now_ms + 20.0
+    return ticket
+
+
+def test_late_requests_leave_slots_for_those_in_time():
+    room = running_room(10)
+    assert isinstance(room.offer(5.0, late_ticket(50, 5.0)), waiting.Start)
+    assert isinstance(room.offer(5.0, late_ticket(51, 5.0)), waiting.Wait)
+    in_time = mesh.ticket(52, 5.0, objective_ms=200)
+    assert isinstance(room.offer(5.0, in_time), waiting.Start)
+    # Twelve of thirteen run; the late one still waits for a gap.
+    assert room.finish(60.0, 0, True) == []
+    started = room.finish(61.0, 1, True)
+    assert [each.ticket.number for each in started] == [51]
+
+
+def test_a_target_of_few_slots_keeps_none_from_late_requests():
+    room = waiting.WaitingRoom(5)
+    for number in range(4):
+        room.offer(0.0, mesh.ticket(number, 0.0))
+    assert isinstance(room.offer(5.0, late_ticket(50, 5.0)), waiting.Start)
+
+
+def returning_callers(load, seconds=30, seed=3):
+    """Plays callers that come back once at one target of 13 slots.
+
+    Returns:
+      Answers in time, late ones, and callers that were refused twice, each as
+      a part of all callers.
+    """
+    work_ms = 77.0
+    chance = random.Random(seed)
+    room = waiting.WaitingRoom(13)
+    ends: list[tuple[float, int]] = []
+    back: list[tuple[float, float]] = []
+    began: dict[int, tuple[float, bool]] = {}
+    numbers = itertools.count()
+    in_time = late = twice = callers = 0
+    mean_ms = work_ms / (load * 13)
+    next_ms = 0.0
+
+    def take(decisions, now_ms):
+        nonlocal twice
+        for decision in decisions:
+            number = decision.ticket.number
+            if isinstance(decision, waiting.Start):
+                took_ms = max(15.0, chance.gauss(work_ms, 0.35 * work_ms))
+                heapq.heappush(ends, (now_ms + took_ms, number))
+            elif isinstance(decision, waiting.Refuse):
+                began_ms, returned = began.pop(number)
+                pause_ms = min(decision.retry_after_ms, 266.0)
+                if returned:
+                    twice += 1
+                else:
+                    heapq.heappush(back, (now_ms + pause_ms, began_ms))
+
+    def offer(now_ms, began_ms):
+        number = next(numbers)
+        began[number] = (began_ms, began_ms < now_ms)
+        ticket = mesh.ticket(number, now_ms, objective_ms=200)
+        ticket.objective_at_ms = began_ms + 200.0
+        ticket.deadline_at_ms = began_ms + 800.0
+        take([room.offer(now_ms, ticket)], now_ms)
+
+    while next_ms < seconds * 1_000:
+        end_ms = ends[0][0] if ends else 1e18
+        back_ms = back[0][0] if back else 1e18
+        now_ms = min(next_ms, end_ms, back_ms)
+        if now_ms == end_ms:
+            number = heapq.heappop(ends)[1]
+            if now_ms - began.pop(number)[0] <= 200.0:
+                in_time += 1
+            else:
+                late += 1
+            take(room.finish(now_ms, number, True), now_ms)
+        elif now_ms == back_ms:
+            offer(now_ms, heapq.heappop(back)[1])
+        else:
+            callers += 1
+            offer(now_ms, now_ms)
+            next_ms = now_ms + chance.expovariate(1.0 / mean_ms)
+        take(room.overdue(now_ms), now_ms)
+    return in_time / callers, late / callers, twice / callers
+
+
+def test_callers_that_come_back_displace_few_answers_in_time():
+    """On a day of high load a sixth of the lookups' answers were late, nearly
+    all of callers that had been refused, while others were refused."""
+    in_time, late, _ = returning_callers(1.0)
+    assert in_time > 0.9
+    assert late < 0.05
+    in_time, late, _ = returning_callers(1.3)
+    assert in_time > 0.93 / 1.3
+    assert late < 0.05
