Make changes of the store by way of another node; let heartbeats wait longer

The nodes that are hit first are those that wrote last, so a move is often under way: the target has let go of its keys, the change is not taken, and nobody has them until the store answers that node again.

Change: a change that the store does not take from here goes to a neighbour that reaches it. It is conditional, so sent twice it takes effect once. A leaving target lets go only if the store, or a neighbour that reaches it, is there. Heartbeats wait 0.6 s for news instead of 0.4, so that a move seldom waits for the next one. Work of unknown length does not count as heat: the first second of a start moved keys for nothing.

The test of the leaving node fails without the neighbour.

--- a/src/auburnrock/engine/mesh/coordination.py
+++ b/src/auburnrock/engine/mesh/coordination.py
@@ -70,6 +70,10 @@
 
     answered_ms: float
 
+    def has_helper(self) -> bool:
+        """Whether changes can be made by way of another node."""
+        return False
+
     @abc.abstractmethod
     async def read(self, key: str) -> Item | None:
         """Reads one key; None if it does not exist."""
--- a/src/auburnrock/engine/mesh/holder.py
+++ b/src/auburnrock/engine/mesh/holder.py
@@ -24,7 +24,7 @@
 ROW_BYTES = 8
 """A row without its token and handover: two keys and what frames them."""
 
-STALE_REPLY_MS = 700.0
+STALE_REPLY_MS = 800.0
 """A target takes a reply within a second; the rest is for the way there."""
 
 
--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -278,6 +278,48 @@
     revision: int
 
 
+UNAVAILABLE = "unavailable"
+"""The change had no effect."""
+
+UNKNOWN = "unknown"
+"""The change may have been made, or may be yet."""
+
+CONFLICT = "conflict"
+"""A condition of the change did not hold."""
+
+
+class ChangeAsked(Message, tag=21):
+    """Asks a node that reaches the store for a conditional change of it.
+
+    Attributes:
+      number: identifies the question at its sender.
+      expected: revision by key; 0 stands for a key that does not exist.
+      puts: new value by key.
+      removes: keys to remove.
+    """
+
+    number: int
+    expected: dict[str, int]
+    puts: dict[str, bytes]
+    removes: list[str]
+
+
+class ChangeAnswer(Message, tag=22):
+    """Answers `ChangeAsked`.
+
+    Attributes:
+      number: of the question.
+      failure: UNAVAILABLE, UNKNOWN, CONFLICT; empty if the change was made.
+      revision: of the change.
+      items: keys of the conditions as they are, after a conflict.
+    """
+
+    number: int
+    failure: str = ""
+    revision: int = 0
+    items: list[tuple[str, bytes | None, int]] = []
+
+
 Any = (
     Hello
     | Ping
@@ -300,6 +342,8 @@
     | Has
     | Want
     | Differing
+    | ChangeAsked
+    | ChangeAnswer
 )
 
 Outcome = Answered | Refused | Lost
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -214,12 +214,8 @@
         refusal = self._barred(run)
         if refusal is not None:
             return refusal
-        if run.key != model.NO_KEY and self.holder.table is not None:
-            self.heat.add(
-                came_ms,
-                self.holder.table.stripe_of(run.key),
-                self.room.work.expected_ms(run.kind, run.objective_ms),
-            )
+        if run.key != model.NO_KEY:
+            self._count(came_ms, run)
         self.numbers += 1
         number = self.numbers
         ticket = waiting.Ticket(
@@ -246,6 +242,13 @@
                 work.cancel()
             raise
 
+    def _count(self, now_ms: float, run: peering.Run) -> None:
+        """Counts what comes for a key, once it is known how long it takes."""
+        work_ms = self.room.work.means.get(run.kind)
+        if work_ms is not None and self.holder.table is not None:
+            stripe = self.holder.table.stripe_of(run.key)
+            self.heat.add(now_ms, stripe, work_ms)
+
     async def _wait(
         self, ticket: waiting.Ticket
     ) -> waiting.Start | waiting.Refuse | None:
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -242,6 +242,8 @@
             self.leaving = True
         elif isinstance(message, peering.SilentFor):
             self.on_told(("silence", message.name), message.silent_ms)
+        elif isinstance(message, peering.ChangeAnswer):
+            self.on_told(("change", message.number), message)
         elif isinstance(message, peering.Sealed):
             mark = ("seal", message.name, message.revision)
             self.on_told(mark, message.left_ms)
@@ -334,8 +336,8 @@
 
     async def ask(
         self, message: peering.Message, mark: tuple, timeout_s: float
-    ) -> float | None:
-        """Asks about a node; None without an answer in time."""
+    ) -> object | None:
+        """Asks the node something; None without an answer in time."""
         future = self.loop.create_future()
         self.questions.setdefault(mark, []).append(future)
         self.due_ms = 0.0
@@ -363,11 +365,11 @@
             await asyncio.sleep(GREETING_POLL_S)
         return True
 
-    def on_told(self, mark: tuple, answer_ms: float) -> None:
+    def on_told(self, mark: tuple, answer: object) -> None:
         """Takes the answer to a question."""
         for future in self.questions.pop(mark, []):
             if not future.done():
-                future.set_result(answer_ms)
+                future.set_result(answer)
 
     def usable(self) -> bool:
         """Whether a request can be sent to the node now."""
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -1,6 +1,7 @@
 """Moves of keys: the first deal, hand-over, and reused addresses."""
 
 from collections.abc import Collection
+import math
 import random
 
 from auburnrock.engine.mesh import coordination
@@ -65,6 +66,7 @@
       hot: moves of hot stripes, and when each was decided.
       cooled_ms: when this node last looked for hot stripes.
       needs_store: whether moves wait until the store has answered.
+      asked_ms: when it was last found that a change would be taken.
       gather_since_ms: when the first of the released keys was; None if none.
       wait_until_ms: end of the pause after a change that lost to another.
       chance: spreads the pauses.
@@ -82,6 +84,7 @@
         self.hot: dict[int, tuple[model.Life, float]] = {}
         self.cooled_ms = 0.0
         self.needs_store = False
+        self.asked_ms = -math.inf
         self.gather_since_ms: float | None = None
         self.wait_until_ms = 0.0
         self.chance = random.Random()
@@ -197,6 +200,7 @@
     def _give(self, table: table_module.KeyTable) -> None:
         """Gives away what the plan and the hot stripes ask for."""
         now_ms = self.now_ms()
+        self.asked_ms = max(self.asked_ms, self.store.answered_ms)
         self.hot = {
             stripe: (life, since_ms)
             for stripe, (life, since_ms) in self.hot.items()
@@ -207,16 +211,17 @@
         wanted = self.wanted | {
             stripe: life for stripe, (life, _) in self.hot.items()
         }
-        leaves = self.holder.draining
-        stays = set() if leaves else self.parts.reserve.giants
+        stays = self.parts.reserve.giants
+        if self.holder.draining:
+            stays = set()
         wanted = {
             index: life
             for index, life in wanted.items()
             if life != own and index not in stays
         }
         begins = wanted.keys() - giving.keys()
-        is_fresh = now_ms - self.store.answered_ms <= STORE_FRESH_MS
-        self.needs_store = bool(begins) and not is_fresh and not leaves
+        is_fresh = now_ms - self.asked_ms <= STORE_FRESH_MS
+        self.needs_store = bool(begins) and not is_fresh
         if self.needs_store:
             wanted = {index: wanted[index] for index in wanted.keys() - begins}
         self.holder.give(wanted)
@@ -237,7 +242,13 @@
         """Begins the moves that wait for the store, if it answers now."""
         if not self.needs_store:
             return
-        await self.store.read(self.view.member_key(self.name))
+        try:
+            await self.store.read(self.view.member_key(self.name))
+        except coordination.StoreError:
+            # A target that leaves has no other time for it.
+            if not (self.holder.draining and self.store.has_helper()):
+                raise
+        self.asked_ms = self.now_ms()
         known = self.view.tables.get(self.settings.service)
         if known is not None:
             self._give(known[0])
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -23,6 +23,7 @@
 from auburnrock.shells.mesh import ownership
 from auburnrock.shells.mesh import parts as parts_module
 from auburnrock.shells.mesh import peers
+from auburnrock.shells.mesh import relay
 from auburnrock.shells.mesh import sync
 from auburnrock.shells.mesh import telling
 
@@ -36,7 +37,7 @@
 """The lease outlasts a hold by three renewals, so that a reply never has to
 cut the hold short."""
 
-NEWS_WAIT_S = 0.4
+NEWS_WAIT_S = 0.6
 """A heartbeat without news is answered after this: it must be acknowledged
 within a second, and what comes meanwhile reaches the target at once."""
 
@@ -144,7 +145,7 @@
         self.ownership = ownership.Ownership(
             parts_module.Parts(
                 settings,
-                self.store,
+                relay.RelayedStore(self.store, self.hub, self.log, self.now_ms),
                 dialect.own_prefix,
                 self.holder,
                 self.hub,
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 import random
 
 import msgspec
@@ -128,6 +128,8 @@
       on_stranger: a node whose record isn't known here has connected.
       on_silence: says how long a node has been silent.
       on_seal: seals; returns what is left, or None if it cannot tell.
+      on_change_asked: makes a change of the store for another node.
+      tasks: such changes that are under way.
     """
 
     def __init__(
@@ -179,6 +181,10 @@
         self.on_stranger: Callable[[str, frames.FrameConnection], None]
         self.on_silence: Callable[[str], float]
         self.on_seal: Callable[[str, int], float | None]
+        self.on_change_asked: Callable[
+            [peering.ChangeAsked], Awaitable[peering.ChangeAnswer]
+        ]
+        self.tasks: set[asyncio.Task] = set()
         self.listener: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -482,6 +488,8 @@
         elif isinstance(message, peering.Silence):
             silent_ms = self.on_silence(message.name)
             connection.send(peering.SilentFor(message.name, silent_ms))
+        elif isinstance(message, peering.ChangeAsked):
+            self.keep(self.answer_change(connection, message))
         elif isinstance(message, peering.Seal):
             left_ms = self.on_seal(message.name, message.revision)
             if left_ms is not None:
@@ -489,6 +497,18 @@
                     peering.Sealed(message.name, message.revision, left_ms)
                 )
 
+    async def answer_change(
+        self, connection: frames.FrameConnection, asked: peering.ChangeAsked
+    ) -> None:
+        """Makes a change of the store for another node."""
+        connection.send(await self.on_change_asked(asked))
+
+    def keep(self, work: Coroutine) -> None:
+        """Runs work that nobody waits for."""
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def on_ping_message(
         self,
         connection: frames.FrameConnection,
@@ -615,6 +635,8 @@
         """Ends all connections."""
         if self.listener is not None:
             self.listener.close()
+        for task in list(self.tasks):
+            task.cancel()
         for connection in list(self.inbound):
             connection.abort()
         for link in self.links.values():
--- /dev/null
+++ b/src/auburnrock/shells/mesh/relay.py
@@ -0,0 +1,153 @@
+"""Changes of the store by way of another node.
+
+Load answered: the store turns some nodes away, or cannot be reached from them,
+while it serves the others. Such a node may be in the middle of a move: its
+target has let go of keys, and nobody has them until the table says whose they
+are. A change is conditional on revisions, so it does not matter who sends it,
+or that it is sent twice: it takes effect once at most.
+"""
+
+from collections.abc import Callable
+import itertools
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import peering
+from auburnrock.shells.mesh import event_log
+from auburnrock.shells.mesh import peers
+
+ANSWER_S = 0.5
+"""A change takes a few milliseconds at a node that reaches the store."""
+
+ASKED_MAX = 2
+"""Nodes that are asked in turn."""
+
+
+class RelayedStore(coordination.Store):
+    """The store as reached from here or, failing that, from another node.
+
+    Attributes:
+      own: the store as reached from here.
+      hub: the other nodes.
+    """
+
+    def __init__(
+        self,
+        own: coordination.Store,
+        hub: peers.Hub,
+        log: event_log.EventLog,
+        now_ms: Callable[[], float],
+    ):
+        self.own = own
+        self.hub = hub
+        self.log = log
+        self.now_ms = now_ms
+        self.numbers = itertools.count(1)
+        hub.on_change_asked = self.answer
+
+    @property
+    def answered_ms(self) -> float:
+        """When the store last answered a call of this node."""
+        return self.own.answered_ms
+
+    def has_helper(self) -> bool:
+        """Whether a node in touch reaches the store."""
+        return bool(self._helpers())
+
+    async def read(self, key: str) -> coordination.Item | None:
+        """Reads one key."""
+        return await self.own.read(key)
+
+    async def list_all(
+        self, prefix: str, stale: bool = False
+    ) -> coordination.Listing:
+        """Reads all keys under a prefix."""
+        return await self.own.list_all(prefix, stale)
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> coordination.Changes:
+        """Waits for changes."""
+        return await self.own.watch(prefix, after, wait_ms)
+
+    async def change(
+        self,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        removes: list[str],
+    ) -> int | coordination.Conflict:
+        """Makes a conditional change, by way of another node if need be."""
+        try:
+            return await self.own.change(expected, puts, removes)
+        except coordination.StoreError as error:
+            return await self._relay(error, expected, puts, removes)
+
+    async def _relay(
+        self,
+        failure: coordination.StoreError,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        removes: list[str],
+    ) -> int | coordination.Conflict:
+        """Asks others; raises what is known of the change if none can."""
+        for name in self._helpers():
+            link = self.hub.link_to(name)
+            if link is None:
+                continue
+            number = next(self.numbers)
+            answer = await link.ask(
+                peering.ChangeAsked(number, expected, puts, removes),
+                ("change", number),
+                ANSWER_S,
+            )
+            self.log.write(
+                "change_relayed",
+                peer=name,
+                reason=str(failure),
+                outcome=answer.failure or "made" if answer else "no answer",
+            )
+            if answer is None or answer.failure == peering.UNKNOWN:
+                # It may be made at any later moment.
+                failure = coordination.StoreUnknownError("relayed, unanswered")
+            elif answer.failure == peering.CONFLICT:
+                items = [coordination.Item(*item) for item in answer.items]
+                return coordination.Conflict(items)
+            elif not answer.failure:
+                return answer.revision
+        raise failure
+
+    def _helpers(self) -> list[str]:
+        """A few nodes in touch that the store answers."""
+        entries = self.hub.directory.entries
+        able = [
+            name
+            for name, link in self.hub.links.items()
+            if link.usable()
+            and name in entries
+            and entries[name].reads
+            and not entries[name].silent
+        ]
+        self.hub.chance.shuffle(able)
+        return able[:ASKED_MAX]
+
+    async def answer(self, asked: peering.ChangeAsked) -> peering.ChangeAnswer:
+        """Makes a change for another node."""
+        try:
+            result = await self.own.change(
+                asked.expected, asked.puts, asked.removes
+            )
+        except coordination.StoreUnavailableError:
+            return peering.ChangeAnswer(asked.number, peering.UNAVAILABLE)
+        except coordination.StoreError:
+            return peering.ChangeAnswer(asked.number, peering.UNKNOWN)
+        if isinstance(result, coordination.Conflict):
+            items = [
+                (item.key, item.value, item.revision) for item in result.items
+            ]
+            return peering.ChangeAnswer(
+                asked.number, peering.CONFLICT, items=items
+            )
+        return peering.ChangeAnswer(asked.number, revision=result)
+
+    def close(self) -> None:
+        """Ends the idle connections."""
+        self.own.close()
--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -4,6 +4,7 @@
 
 import pytest_asyncio
 
+from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import model
 from tests.common import mesh_fleet
 
@@ -171,6 +172,23 @@
     )
 
 
+async def test_a_node_that_the_store_turns_away_hands_its_keys_over(
+    fleet, oracle
+):
+    """It had let go of them, and nobody had them until the takeover."""
+    await witnesses_chosen(fleet)
+
+    async def refuse(*values):
+        raise coordination.StoreUnavailableError("cut off from the store")
+
+    fleet.hosts[0].node.store._exchange = refuse
+    fleet.hosts[0].target.state = "draining"
+    await fleet.until(
+        lambda: not fleet.hosts[0].target.holds and keys(fleet) == model.KEYS,
+        2.0,
+    )
+
+
 async def test_a_lost_answer_of_the_store_leaves_one_owner(fleet, oracle):
     fleet.store.switches.lose_changes = 3
     await fleet.hosts[0].target.crash()
