Let only a dominant key displace others, and only settled targets take hot ones

Change: others make room only if giants are half of all work for the target, and for no more than does not fit beside them; hot stripes go only to targets that own half of an even share.

--- a/src/auburnrock/engine/mesh/heat.py
+++ b/src/auburnrock/engine/mesh/heat.py
@@ -42,6 +42,14 @@
 """Part of the slots from which on other keys make room for a stripe that no
 other target has room for."""
 
+GIANTS_PART = 0.5
+"""Part of all work for the target that giants are, before others make room: in
+a target that is slow as a whole, any busy stripe keeps many slots busy."""
+
+OWNED_LEAST = 0.5
+"""Part of an even share of the keys that a target must own to get hot ones; the
+load of one that has just joined is still to come."""
+
 RESERVED_MAX = 0.9
 """Part of a target's share of the keys that giants may take at most."""
 
@@ -166,12 +174,20 @@
         if not self.part and own <= CROWDED:
             return
         giants = {stripe for stripe, part in hot.items() if part >= GIANT}
+        giants_part = sum(map(hot.get, giants))
+        if not self.part and giants_part < GIANTS_PART * own:
+            return
         if giants:
             self.until_ms = now_ms + RESERVED_FOR_MS
         elif now_ms < self.until_ms:
             return
         self.giants = giants
-        wanted = min(RESERVED_MAX, sum(map(hot.get, giants)) / CROWDED)
+        wanted = 0.0
+        if giants:
+            # What the other keys of a whole share would ask for.
+            others = max(1e-9, (own - giants_part) / (1.0 - self.part))
+            wanted = 1.0 - max(0.0, CROWDED - giants_part) / others
+            wanted = min(RESERVED_MAX, max(0.0, wanted))
         if abs(wanted - self.part) >= RESERVED_STEP or not wanted:
             self.part = wanted
 
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -1,5 +1,6 @@
 """Moves of keys: the first deal, hand-over, and reused addresses."""
 
+import collections
 from collections.abc import Collection
 import math
 import random
@@ -188,10 +189,19 @@
         """Other targets that hot keys may go to, with their loads."""
         loads = self.parts.loads()
         entries = self.hub.directory.entries
+        table = self.view.tables[self.settings.service][0]
+        owned = collections.Counter(stripe.owner for stripe in table.stripes)
+        least = heat.OWNED_LEAST * len(table.stripes) / len(table.lives)
+        settled = {
+            life
+            for place, life in enumerate(table.lives)
+            if owned[place] >= least
+        }
         return {
             life: heat.Load(loads[life.member], weight)
             for life, weight in weights.items()
             if life != self.holder.life
+            and life in settled
             and life.member in loads
             and life.member in entries
             and not entries[life.member].cold
