--- a/src/auburnrock/engine/mesh/heat.py
+++ b/src/auburnrock/engine/mesh/heat.py
@@ -64,6 +64,10 @@
 """The other target must be better off by this much after the move: loads are
 known from a second ago, and a stripe on its way is served by nobody."""
 
+MOVED_LEAST = 0.15
+"""Part of the slots that hot stripes must keep busy together to be moved: each
+move is a change of the whole table, for which other owners wait."""
+
 EVERY_MS = 700.0
 """Between two looks: a move takes about half of this, and then shows in the
 loads."""
@@ -229,4 +233,6 @@
         loads[best] = after
         own -= part
         found[stripe] = best
+    if sum(map(hot.get, found)) < MOVED_LEAST:
+        return {}
     return found
