Split the watching of hot keys from the moves that carry it out

`cooling.py` has what is counted and decided of hot keys; the load of the others is looked at only while the target is crowded, or was lately. No change of decisions.

--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -1,15 +1,14 @@
 """Moves of keys: the first deal, hand-over, and reused addresses."""
 
-import collections
 from collections.abc import Collection
 import math
 import random
 
 from auburnrock.engine.mesh import coordination
-from auburnrock.engine.mesh import heat
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
 from auburnrock.engine.mesh import table as table_module
+from auburnrock.shells.mesh import cooling
 from auburnrock.shells.mesh import parts as parts_module
 from auburnrock.shells.mesh import view as view_module
 
@@ -39,9 +38,6 @@
 """The store has answered so lately that a change will be taken: a target lets
 go of keys before the change, and nobody has them while the store is away."""
 
-HOT_KEPT_MS = 2_500.0
-"""A hot stripe that has not moved by then stays."""
-
 ADOPT_EVERY_MS = 300.0
 """Between two looks for owners that are gone; they were lost seconds ago."""
 
@@ -64,8 +60,7 @@
       missing_since_ms: since when owners have no record, by name.
       basis: what the last plan was made from.
       wanted: moves of the last plan.
-      hot: moves of hot stripes, and when each was decided.
-      cooled_ms: when this node last looked for hot stripes.
+      cooling: watches hot keys.
       needs_store: whether moves wait until the store has answered.
       asked_ms: when it was last found that a change would be taken.
       gather_since_ms: when the first of the released keys was; None if none.
@@ -82,8 +77,7 @@
         self.missing_since_ms: dict[str, float] = {}
         self.basis: tuple = ()
         self.wanted: dict[int, model.Life] = {}
-        self.hot: dict[int, tuple[model.Life, float]] = {}
-        self.cooled_ms = 0.0
+        self.cooling = cooling.Cooling(parts)
         self.needs_store = False
         self.asked_ms = -math.inf
         self.gather_since_ms: float | None = None
@@ -140,94 +134,23 @@
         self._give(known[0])
 
     def cool(self, now_ms: float) -> None:
-        """Says which hot keys of a crowded target should go elsewhere."""
+        """Moves hot keys of a crowded target elsewhere."""
         known = self.view.tables.get(self.settings.service)
-        if known is None or now_ms - self.cooled_ms < heat.EVERY_MS:
-            return
-        self.cooled_ms = now_ms
-        own = self.holder.life
-        weights = self._weights()
-        if own not in weights:
-            return
-        slots = self.parts.slots()
-        used = self.parts.heat.total(now_ms, slots)
-        stays: dict[int, float] = {}
-        for stripe, part in self.parts.heat.hot(now_ms, slots).items():
-            if stripe in self.holder.granted:
-                stays[stripe] = part
-            else:
-                # It has left, or is about to.
-                used -= part
-        before = self.parts.reserve.part
-        weight = weights[own] / (1.0 - before)
-        moves = heat.moves(used, stays, weight, self._others(weights))
-        left = {each: stays[each] for each in stays if each not in moves}
-        self.parts.reserve.look(now_ms, used, left)
-        if self.parts.reserve.part != before:
-            self.log.write(
-                "giant_stripes",
-                table=known[0].version,
-                reserved=round(self.parts.reserve.part, 2),
-                before=round(before, 2),
-            )
-        if not moves:
+        if known is None or not self.cooling.is_due(now_ms):
             return
-        for stripe, life in moves.items():
-            self.hot[stripe] = (life, now_ms)
-        self.log.write(
-            "hot_stripes",
-            table=known[0].version,
-            used=round(used, 2),
-            moved=round(sum(stays[stripe] for stripe in moves), 2),
-            count=len(moves),
-        )
-        self._give(known[0])
-
-    def _others(
-        self, weights: dict[model.Life, float]
-    ) -> dict[model.Life, heat.Load]:
-        """Other targets that hot keys may go to, with their loads."""
-        loads = self.parts.loads()
-        entries = self.hub.directory.entries
-        table = self.view.tables[self.settings.service][0]
-        owned = collections.Counter(stripe.owner for stripe in table.stripes)
-        least = heat.OWNED_LEAST * len(table.stripes) / len(table.lives)
-        settled = {
-            life
-            for place, life in enumerate(table.lives)
-            if owned[place] >= least
-        }
-        return {
-            life: heat.Load(loads[life.member], weight)
-            for life, weight in weights.items()
-            if life != self.holder.life
-            and life in settled
-            and life.member in loads
-            and life.member in entries
-            and not entries[life.member].cold
-        }
+        if self.cooling.look(now_ms, known[0], self._weights()):
+            self._give(known[0])
 
     def _give(self, table: table_module.KeyTable) -> None:
         """Gives away what the plan and the hot stripes ask for."""
         now_ms = self.now_ms()
         self.asked_ms = max(self.asked_ms, self.store.answered_ms)
-        self.hot = {
-            stripe: (life, since_ms)
-            for stripe, (life, since_ms) in self.hot.items()
-            if now_ms - since_ms < HOT_KEPT_MS
-        }
         giving = dict(self.holder.giving)
         own = self.holder.life
-        wanted = self.wanted | {
-            stripe: life for stripe, (life, _) in self.hot.items()
-        }
-        stays = self.parts.reserve.giants
-        if self.holder.draining:
-            stays = set()
         wanted = {
             index: life
-            for index, life in wanted.items()
-            if life != own and index not in stays
+            for index, life in self.cooling.changed(now_ms, self.wanted).items()
+            if life != own
         }
         begins = wanted.keys() - giving.keys()
         is_fresh = now_ms - self.asked_ms <= STORE_FRESH_MS
