Bound how long a late request waits for a gap; drop rows of a reply in one pass

A late request waited for a gap until its deadline, when its caller can do nothing else. It is told after twice its objective.

Rows that don't fit a reply were looked for anew after each one that was dropped; a row now has many stripes, so that this would take a tenth of a second.

--- a/src/auburnrock/engine/mesh/holder.py
+++ b/src/auburnrock/engine/mesh/holder.py
@@ -180,9 +180,15 @@
         let go of what is left out.
         """
         rows = _joined([self._row(index) for index in self._stripes_to_grant()])
-        while _size(rows) > REPLY_BYTES:
-            fresh = [row for row in rows if not self._is_held(row)]
-            rows.remove(fresh[-1] if fresh else rows[-1])
+        excess = _size(rows) - REPLY_BYTES
+        if excess <= 0:
+            return rows
+        dropped = [row for row in rows if self._is_held(row)]
+        dropped += [row for row in rows if not self._is_held(row)]
+        while excess > 0:
+            row = dropped.pop()
+            rows.remove(row)
+            excess -= _size([row])
         return rows
 
     def _stripes_to_grant(self) -> list[int]:
--- a/src/auburnrock/engine/mesh/waiting.py
+++ b/src/auburnrock/engine/mesh/waiting.py
@@ -55,6 +55,10 @@
 FIRST_SAMPLE_WEIGHT = 0.34
 """Weight of the earliest samples, so that a start is learnt quickly."""
 
+LATE_PATIENCE = 2.0
+"""Objectives that a late request waits for a gap. Where none has come by then,
+none is likely, and its caller is told so."""
+
 RETURN_SPREAD = 0.6
 """Spread of return times, as a share of the time to the next room."""
 
@@ -315,7 +319,11 @@
         """Turns away the waiting requests that can no longer be served."""
         refused = []
         for number, ticket in list(self.waiting_now.items()):
-            if now_ms + 0.5 * ticket.expected_ms > ticket.deadline_at_ms:
+            patience_ms = LATE_PATIENCE * ticket.objective_ms
+            if (
+                now_ms + 0.5 * ticket.expected_ms > ticket.deadline_at_ms
+                or now_ms > ticket.objective_at_ms + patience_ms
+            ):
                 del self.waiting_now[number]
                 refused.append(self._refuse(ticket, self.wait_ms(now_ms)))
         return refused
--- a/tests/cover/test_mesh_waiting.py
+++ b/tests/cover/test_mesh_waiting.py
@@ -226,6 +226,16 @@
     assert [each.ticket.number for each in started] == [51]
 
 
+def test_a_late_request_is_refused_when_no_gap_comes():
+    """Not at its deadline, when its caller can do nothing else."""
+    room = running_room(13)
+    ticket = late_ticket(50, 5.0)
+    assert isinstance(room.offer(5.0, ticket), waiting.Wait)
+    assert room.overdue(420.0) == []
+    refused = room.overdue(430.0)
+    assert [each.ticket.number for each in refused] == [50]
+
+
 def test_a_target_of_few_slots_keeps_none_from_late_requests():
     room = waiting.WaitingRoom(5)
     for number in range(4):
