--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import functools
+import os
 import socket
 
 import aiohttp
@@ -75,10 +76,19 @@
 }
 
 
+RUNS = 120
+"""Runs of the tests on one machine that keep apart from each other."""
+
+PORTS_OF_RUN = 100
+"""Ports of one of them; below those that the system gives to connections."""
+
+
 def free_ports(address: str, count: int) -> list[int]:
     """Ports that nobody listens on, outside the range of outgoing ones."""
     found = []
-    port = 20_000
+    # A target that restarts binds its port again: no other run may have taken
+    # it meanwhile.
+    port = 20_000 + os.getpid() % RUNS * PORTS_OF_RUN
     while len(found) < count:
         port += 1
         with socket.socket() as wire:
