--- a/src/auburnrock/engine/mesh/pace.py
+++ b/src/auburnrock/engine/mesh/pace.py
@@ -9,8 +9,8 @@
 import math
 
 DEFAULT_PACE = 0.35
-"""Work as a share of the objective before any sample; both deployments'
-sheets give 0.25 to 0.4."""
+"""Work as a share of the objective before any sample. Shares depend on ratios
+of paces only, so it stands for a target as fast as the others."""
 
 PACE_WEIGHT = 0.015
 """Weight of a sample in the running mean: about the last 130 requests."""
--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -19,8 +19,7 @@
 from auburnrock.shells.mesh import metrics as metrics_module
 
 NO_DEADLINE_MS = 30_000.0
-"""For callers that state none; the longest deadline of the deployments is
-8 s."""
+"""For callers that state none; their route's timeout ends them sooner."""
 
 OVERTIME_MS = 60.0
 """How long after the deadline the target's own answer is still awaited."""
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -27,7 +27,8 @@
 target may forget an idle one, and what is sent next is lost."""
 
 IDLE_MAX_MS = 8_000.0
-"""The shortest idle timeout seen at targets is 10 s."""
+"""A connection idle for longer is not used again: the target may be about to
+close it."""
 
 ANSWER_GRACE_MS = 30.0
 """A target answers at the deadline itself; its answer needs this much."""
--- a/src/auburnrock/shells/mesh/metrics.py
+++ b/src/auburnrock/shells/mesh/metrics.py
@@ -14,7 +14,7 @@
     3.0,
     6.0,
 )
-"""Bounds of the histograms; the objectives of both deployments lie between."""
+"""Bounds of the histograms, in seconds."""
 
 
 class Metrics:
