Hold a target's share to one run again

Cause: when rows became runs of stripes, test_a_killed_node_goes_on_with_the_same_ fences came to allow 1% of a share, 218 keys; it had allowed one row, 128 keys. Found in the last reading of the change. Ruled out: others of the replaced assertions; they are as strict, in keys or runs. Change: one run, as before.

--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -6,6 +6,7 @@
 
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import plan
 from tests.common import mesh_fleet
 
 STRIPE_KEYS = 7
@@ -119,7 +120,8 @@
     await fleet.hosts[0].start_node()
     await asyncio.sleep(1.0)
     third = model.KEYS / 3
-    assert abs(fleet.hosts[0].target.keys() - third) < third / 100
+    run = model.KEYS / plan.first_count(3)
+    assert abs(fleet.hosts[0].target.keys() - third) <= run
     assert fleet.hosts[1].node.holder.table.version == before
 
 
