Log what a silence gives up, and work that is broken off for it

Change: peer_silent has given_up=, and work_orphaned names the attempt and the node that had asked. No decision is changed; the tests of requests, links and pages pass (70).

--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -137,14 +137,17 @@
         elif step is linking.Step.PING:
             self.ping()
         elif step is linking.Step.GIVE_UP:
+            silent_ms = int(now_ms - self.watch.unanswered_ms)
+            waiting = len(self.waiting)
+            self.drop_connection()
+            self.lose_idempotent()
             self.owner.log.write(
                 "peer_silent",
                 peer=self.member.name,
-                silent_ms=int(now_ms - self.watch.unanswered_ms),
-                waiting=len(self.waiting),
+                silent_ms=silent_ms,
+                waiting=waiting,
+                given_up=waiting - len(self.waiting),
             )
-            self.drop_connection()
-            self.lose_idempotent()
         return step is not linking.Step.CLOSE
 
     async def connect(self) -> None:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -55,11 +55,11 @@
 class Work:
     """A request of another node that runs here."""
 
-    __slots__ = ("connection", "idempotent", "outcome", "task")
+    __slots__ = ("connection", "outcome", "run", "task")
 
-    def __init__(self, connection: frames.FrameConnection, idempotent: bool):
+    def __init__(self, connection: frames.FrameConnection, run: peering.Run):
         self.connection = connection
-        self.idempotent = idempotent
+        self.run = run
         self.task: asyncio.Task | None = None
         self.outcome: peering.Outcome | None = None
 
@@ -552,17 +552,29 @@
                 (False, ORPHAN_S),
             ):
                 self.loop.call_later(
-                    wait_s, self.cancel_orphans, connection, idempotent
+                    wait_s,
+                    self.cancel_orphans,
+                    connection,
+                    inbound.name,
+                    idempotent,
                 )
 
     def cancel_orphans(
-        self, connection: frames.FrameConnection, idempotent: bool
+        self,
+        connection: frames.FrameConnection,
+        asker: str,
+        idempotent: bool,
     ) -> None:
         """Ends the work of a node that has not come back for it."""
         for work in list(self.work.values()):
             if work.connection is not connection or work.task is None:
                 continue
-            if work.idempotent == idempotent:
+            if work.run.idempotent == idempotent:
+                self.log.write(
+                    "work_orphaned",
+                    attempt=work.run.attempt,
+                    asker=asker,
+                )
                 work.task.cancel()
 
     def on_run(
@@ -579,7 +591,7 @@
             if work.outcome is not None:
                 connection.send(work.outcome)
             return
-        work = Work(connection, run.idempotent)
+        work = Work(connection, run)
         self.work[mark] = work
         late_ms = self.on_the_way_ms(origin, run.sent_ms)
         run = msgspec.structs.replace(
