--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -9,7 +9,9 @@
 import pytest
 import pytest_asyncio
 
+from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import repeats
 from auburnrock.shells.mesh import peers
 from auburnrock_standins import mesh_target
 from tests.common import mesh_fleet
@@ -264,3 +266,40 @@
     await fleet.until(lambda: counts.get("frame_unreadable", 0) > before)
     status, _, _ = await fleet.ask(fleet.hosts[0], "/lookup/x", key=9)
     assert status == 200
+
+
+def _key_of(asker, owner) -> int:
+    """A key whose owner, as one host sees it, is another."""
+    table = asker.node.dispatcher.tables["portal"]
+    return next(
+        key
+        for key in range(model.KEYS)
+        if table.owner_of(key).member == owner.ip
+    )
+
+
+async def _go_silent(fleet, link, silent_ms: float) -> None:
+    """Stops reading what the other node sends, as behind a full link."""
+    link.connection.transport.pause_reading()
+    watch = link.watch
+    await fleet.until(
+        lambda: watch.unanswered_ms
+        and link.owner.now_ms() - watch.unanswered_ms > silent_ms
+    )
+
+
+async def test_a_request_at_a_silent_node_is_not_given_up_while_it_runs(
+    fleet, monkeypatch
+):
+    """LOST on a recorded day of the grown Hint Delivery Mesh."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 0.7
+    monkeypatch.setattr(repeats.Budget, "allows", lambda *_: False)
+    await _go_silent(fleet, asker.node.hub.links[owner.ip], 500.0)
+    before = asker.node.log.counts.get("peer_silent", 0)
+    status, _, _ = await fleet.ask(
+        asker, "/lookup/x", key=_key_of(asker, owner)
+    )
+    assert asker.node.log.counts["peer_silent"] == before + 1
+    assert status == 200
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
