Do not give up a request at a silent node unless another target is asked

Cause: a connection on which no ping was answered for 0.9 s counted as the loss of every idempotent request on it. Where packets wait at a full link, or an old connection has gone silent, the other node and its target are well; and the node that had been asked broke the run off 0.35 s after the connection had ended. The class: silence of a connection taken for the end of the work behind it. Change: a silent connection is opened anew and requests are sent again on it under their number, as those that must not repeat were already. An idempotent one leaves only if another target is asked in its place, paid from the budget; what was left or cancelled in a silence is cancelled when the node is back. The node that was asked goes on with what its target works at for 1.5 s; what waits still ends after 0.35 s, and is told as not run. A node that cannot be reached ends idempotent work as before.

--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -59,7 +59,11 @@
     """One caller's request on its way.
 
     Attributes:
+      keyed: whether only the owner of its key may run it.
       asked: nodes that were asked.
+      candidate: the one that is asked now.
+      leaves: whether that one is silent and the repeat elsewhere is paid for.
+      counted: whether it counts as reached already.
       impatient: those that declined only to have it wait.
       tries: how often a node was asked.
       targets: nodes whose target may have begun to run it.
@@ -68,10 +72,14 @@
     __slots__ = (
         "asked",
         "body",
+        "candidate",
         "closes_ms",
+        "counted",
         "deadline_ms",
         "head",
         "impatient",
+        "keyed",
+        "leaves",
         "lost",
         "mark",
         "method",
@@ -96,9 +104,19 @@
         self.tries = 0
         self.reached = 0
         self.lost = False
+        self.candidate: choice.Candidate | None = None
+        self.leaves = False
+        self.counted = False
         self.moving_ms = 0.0
         self.retry_after_ms = 0.0
 
+    def count_reached(self) -> None:
+        """The target that is asked now may have begun to run the request."""
+        if not self.counted:
+            self.counted = True
+            self.reached += 1
+            self.targets.add(self.candidate.name)
+
 
 class Dispatcher:
     """The callers' side of a node.
@@ -110,6 +128,7 @@
       entries: what is known of all nodes, by name.
       groups: targets by service.
       budgets: repeats by service.
+      under_way: requests that a node is asked to run now, by number.
       execute: has a node's target run a request.
       reachable: whether a node can be asked.
     """
@@ -141,6 +160,7 @@
         self.shares = routing.Shares()
         self.usual_waits_ms: dict[str, float] = {}
         self.numbers = 0
+        self.under_way: dict[int, Attempt] = {}
         self.chance = random.Random()
 
     def take_configuration(self, configuration: model.Configuration) -> None:
@@ -199,11 +219,11 @@
             )
         attempt = self._attempt(request, head, route)
         service = self.configuration.services.get(attempt.service)
-        keyed = service is not None and service.keyed
-        if keyed and head.key < 0:
+        attempt.keyed = service is not None and service.keyed
+        if attempt.keyed and head.key < 0:
             return self._refuse_early(head, errors.ErrorKind.BAD_REQUEST, 0.0)
         self._budget(attempt.service).on_request(self.now_ms())
-        outcome = await self._see_through(attempt, keyed)
+        outcome = await self._see_through(attempt)
         return self._answer(attempt, outcome)
 
     def _attempt(
@@ -255,9 +275,7 @@
             self.budgets[service] = budget
         return budget
 
-    async def _see_through(
-        self, attempt: Attempt, keyed: bool
-    ) -> peering.Outcome:
+    async def _see_through(self, attempt: Attempt) -> peering.Outcome:
         """Asks targets until there is an outcome that is final."""
         while True:
             now_ms = self.now_ms()
@@ -265,27 +283,32 @@
                 return self._given_up(
                     attempt, errors.ErrorKind.DEADLINE_EXCEEDED
                 )
-            find = self._owner if keyed else self._choose
-            candidate = find(attempt)
+            candidate = self._find(attempt)
             if candidate is None:
                 kind = errors.ErrorKind.NO_OWNER
-                if not keyed:
+                if not attempt.keyed:
                     kind = errors.ErrorKind.OVERLOADED
                 return self._given_up(attempt, kind)
-            outcome = await self._ask(attempt, candidate, keyed)
+            outcome = await self._ask(attempt, candidate)
             if isinstance(outcome, peering.Answered):
                 if not self._improvable(attempt, outcome):
                     return outcome
                 attempt.lost = True
-                if not await self._may_repeat(attempt, "bad_answer", keyed):
+                if not self._may_repeat(attempt, "bad_answer"):
                     return outcome
             elif isinstance(outcome, peering.Lost):
                 attempt.lost = True
-                if not await self._may_repeat(attempt, "lost", keyed):
+                if not attempt.leaves and not self._may_repeat(attempt, "lost"):
                     return outcome
-            elif not await self._goes_on(attempt, outcome, candidate, keyed):
+            elif not await self._goes_on(attempt, outcome, candidate):
                 return outcome
 
+    def _find(self, attempt: Attempt) -> choice.Candidate | None:
+        """The target to ask next."""
+        if attempt.keyed:
+            return self._owner(attempt)
+        return self._choose(attempt)
+
     def _owner(self, attempt: Attempt) -> choice.Candidate | None:
         """The target that owns the request's key, if it can be asked."""
         table = self.tables.get(attempt.service)
@@ -323,15 +346,17 @@
         )
 
     async def _ask(
-        self, attempt: Attempt, candidate: choice.Candidate, keyed: bool
+        self, attempt: Attempt, candidate: choice.Candidate
     ) -> peering.Outcome:
         """Asks one target."""
         now_ms = self.now_ms()
         self.numbers += 1
+        attempt.candidate = candidate
+        attempt.leaves = attempt.counted = False
         attempt.asked.add(candidate.name)
         attempt.impatient.discard(candidate.name)
         patience_ms = -1.0
-        if not keyed:
+        if not attempt.keyed:
             patience_ms = choice.patience_ms(
                 now_ms, candidate, attempt.route.objective_ms, attempt.tries
             )
@@ -342,7 +367,7 @@
             attempt.service,
             attempt.route.name,
             attempt.route.rank,
-            attempt.head.key if keyed else model.NO_KEY,
+            attempt.head.key if attempt.keyed else model.NO_KEY,
             attempt.route.idempotent,
             attempt.deadline_ms - now_ms,
             attempt.objective_ms - now_ms,
@@ -356,6 +381,7 @@
             patience_ms,
         )
         candidate.begin()
+        self.under_way[run.number] = attempt
         outcome: peering.Outcome | None = None
         try:
             async with asyncio.timeout((attempt.closes_ms - now_ms) / 1_000):
@@ -367,6 +393,7 @@
                 choice.NO_TARGET,
             )
         finally:
+            del self.under_way[run.number]
             candidate.end(_is_failure(outcome))
         if outcome.report.slots:
             candidate.take_report(self.now_ms(), outcome.report)
@@ -374,17 +401,29 @@
         if patience_ms >= 0.0 and _is_overloaded(outcome):
             attempt.impatient.add(candidate.name)
         if reached:
-            attempt.reached += 1
-            attempt.targets.add(candidate.name)
+            attempt.count_reached()
         return outcome
 
+    def leaves(self, run: peering.Run) -> bool:
+        """Whether a request at a silent node is asked of another target now.
+
+        If so, the repeat is paid for. Else its outcome is awaited until the
+        deadline: the target may be at work on it.
+        """
+        attempt = self.under_way.get(run.number)
+        if attempt is None or not attempt.route.idempotent:
+            return False
+        if self._find(attempt) in (None, attempt.candidate):
+            return False
+        attempt.count_reached()
+        attempt.leaves = self._may_repeat(attempt, "silent")
+        return attempt.leaves
+
     def _improvable(self, attempt: Attempt, outcome: peering.Answered) -> bool:
         """Whether another target may do better than this failure."""
         return outcome.status >= 500 and attempt.route.idempotent
 
-    async def _may_repeat(
-        self, attempt: Attempt, cause: str, keyed: bool
-    ) -> bool:
+    def _may_repeat(self, attempt: Attempt, cause: str) -> bool:
         """Whether a request that may have run is sent once more."""
         now_ms = self.now_ms()
         if not attempt.route.idempotent:
@@ -395,13 +434,16 @@
         crashes = self.suspects.count(now_ms, attempt.mark)
         if crashes > suspects_module.REPEATS_AFTER_CRASHES:
             return False
-        return self._spend(attempt, cause, keyed)
+        return self._spend(attempt, cause)
 
-    def _spend(self, attempt: Attempt, cause: str, keyed: bool) -> bool:
+    def _spend(self, attempt: Attempt, cause: str) -> bool:
         """Takes one repeat from the budget, if there is one."""
         now_ms = self.now_ms()
         budget = self._budget(attempt.service)
-        if not keyed and len(attempt.targets) >= attempt.route.targets_max:
+        if (
+            not attempt.keyed
+            and len(attempt.targets) >= attempt.route.targets_max
+        ):
             return False
         if attempt.reached >= 1 + attempt.route.targets_max:
             return False
@@ -425,7 +467,6 @@
         attempt: Attempt,
         refused: peering.Refused,
         candidate: choice.Candidate,
-        keyed: bool,
     ) -> bool:
         """Whether a refused request is offered once more, and waits for it."""
         now_ms = self.now_ms()
@@ -435,9 +476,9 @@
         )
         if kind is errors.ErrorKind.QUARANTINED:
             return False
-        if refused.reached and not self._spend(attempt, kind.value, keyed):
+        if refused.reached and not self._spend(attempt, kind.value):
             return False
-        if not keyed:
+        if not attempt.keyed:
             if kind is not errors.ErrorKind.OVERLOADED:
                 candidate.closed_until_ms = now_ms + CLOSED_FOR_MS
             return True
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -205,11 +205,17 @@
             round(100 * self.heat.total(now_ms, self.room.slots)),
         )
 
-    async def run(self, run: peering.Run) -> peering.Outcome:
+    async def run(
+        self, run: peering.Run, note_sent: Callable[[], None] = lambda: None
+    ) -> peering.Outcome:
         """Runs a request at the target, or says why not.
 
         If it is cancelled, the request no longer waits; one that is at the
         target is broken off if it is idempotent, and ends unheard otherwise.
+
+        Args:
+          run: the request.
+          note_sent: called before the target gets it.
         """
         came_ms = self.now_ms()
         refusal = self._barred(run)
@@ -235,7 +241,7 @@
             return self._refused(run, errors.ErrorKind.NO_TARGET, 100.0)
         if isinstance(decision, waiting.Refuse):
             return self._overloaded(run, decision, came_ms)
-        work = self.loop.create_task(self._work(run, ticket))
+        work = self.loop.create_task(self._work(run, ticket, note_sent))
         try:
             return await asyncio.shield(work)
         except asyncio.CancelledError:
@@ -264,7 +270,10 @@
             self.starts.pop(ticket.number, None)
 
     async def _work(
-        self, run: peering.Run, ticket: waiting.Ticket
+        self,
+        run: peering.Run,
+        ticket: waiting.Ticket,
+        note_sent: Callable[[], None],
     ) -> peering.Outcome:
         """Sends a request that has a slot and gives the slot back."""
         completed = False
@@ -285,7 +294,7 @@
             if refusal is not None:
                 end = "barred"
                 return refusal
-            outcome = await self._send(run, ticket)
+            outcome = await self._send(run, ticket, note_sent)
             completed = isinstance(outcome, peering.Answered)
             end = type(outcome).__name__.lower()
             return outcome
@@ -297,7 +306,10 @@
             self.go_on(self.room.finish(now_ms, ticket.number, completed))
 
     async def _send(
-        self, run: peering.Run, ticket: waiting.Ticket
+        self,
+        run: peering.Run,
+        ticket: waiting.Ticket,
+        note_sent: Callable[[], None],
     ) -> peering.Outcome:
         idle_ms = IDLE_MAX_MS if run.idempotent else FRESH_IDLE_MS
         target = self.target
@@ -319,6 +331,7 @@
             self.client.give_back(connection)
             return self._refused(run, errors.ErrorKind.DEADLINE_EXCEEDED, 0.0)
         data = self.dialect.target_request(run, target.target, left_ms)
+        note_sent()
         try:
             async with asyncio.timeout((left_ms + ANSWER_GRACE_MS) / 1_000):
                 answer = await connection.exchange(
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -30,6 +30,9 @@
 """Return time for a request whose node cannot be reached; a restarted process
 is back within seconds, and callers have one return."""
 
+ABANDONED_MAX = 1_024
+"""Requests that a node is told to end once it can be reached again."""
+
 GREETING_POLL_S = 0.005
 """Questions wait for a connection in steps of this."""
 
@@ -41,11 +44,13 @@
       log: takes events.
       now_ms: the time.
       sent_bytes: bytes written to other nodes, by kind of message.
+      leaves: whether a request at a silent node is asked of another now.
     """
 
     log: event_log.EventLog
     now_ms: Callable[[], float]
     sent_bytes: dict[str, int]
+    leaves: Callable[[peering.Run], bool]
 
     @abc.abstractmethod
     def hello(self, asks_for_snapshot: bool) -> peering.Hello:
@@ -100,6 +105,8 @@
       start: the other process's start as it said last.
       leaving: whether the other process has said that it ends.
       waiting: requests without an outcome, by number.
+      abandoned: numbers of requests that nobody waits for any more, which the
+        other node has not been told; the values say nothing.
       questions: questions without an answer, by what they ask.
       due_ms: when the next step is due.
       news: entries to tell the other node soon, by name.
@@ -116,6 +123,7 @@
         self.leaving = False
         self.was_heard = False
         self.waiting: dict[int, Waiting] = {}
+        self.abandoned: dict[int, None] = {}
         self.questions: dict[tuple, list[asyncio.Future]] = {}
         self.news: dict[str, membership.Entry] = {}
         self.due_ms = 0.0
@@ -140,7 +148,7 @@
             silent_ms = int(now_ms - self.watch.unanswered_ms)
             waiting = len(self.waiting)
             self.drop_connection()
-            self.lose_idempotent()
+            self.leave_silent()
             self.owner.log.write(
                 "peer_silent",
                 peer=self.member.name,
@@ -179,6 +187,7 @@
                 self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
             else:
                 self.refuse_unsent()
+                self.leave_silent()
             self.owner.lose_node(self, refused)
             return
         self.greeted = False
@@ -257,11 +266,15 @@
         """Sends what waits, again if it is the process that has it already."""
         if self.start and hello.start != self.start:
             self.lose_sent(errors.ErrorKind.OUTCOME_UNKNOWN)
+            self.abandoned.clear()
         self.leaving = self.leaving and hello.start == self.start
         self.start = hello.start
         self.greeted = True
         if hello.asks_for_snapshot:
             self.connection.send(self.owner.snapshot_for(hello))
+        for number in self.abandoned:
+            self.connection.send(peering.Cancel(number))
+        self.abandoned.clear()
         for entry in self.waiting.values():
             self.send_run(entry)
 
@@ -280,13 +293,27 @@
         entry.sent = True
         self.connection.send(run)
 
-    def lose_idempotent(self) -> None:
-        """Gives up on what can be asked elsewhere, of a silent node."""
+    def leave_silent(self) -> None:
+        """Gives up on what is asked of another node now.
+
+        All else is kept: a node whose packets wait at a full link is silent
+        too, and its target may be at work.
+        """
         for number, entry in list(self.waiting.items()):
-            if entry.run.idempotent and entry.sent:
+            if entry.sent and self.owner.leaves(entry.run):
                 del self.waiting[number]
+                self.abandon(number)
                 _settle(entry, _lost(number, errors.ErrorKind.PEER_UNREACHABLE))
 
+    def abandon(self, number: int) -> None:
+        """Ends a request at the other node, now or when it is back."""
+        if self.connection is not None and self.greeted:
+            self.connection.send(peering.Cancel(number))
+            return
+        self.abandoned[number] = None
+        if len(self.abandoned) > ABANDONED_MAX:
+            del self.abandoned[next(iter(self.abandoned))]
+
     def lose_sent(self, kind: errors.ErrorKind) -> None:
         """The process that had these requests is gone."""
         for number, entry in list(self.waiting.items()):
@@ -332,7 +359,7 @@
             return await entry.future
         except asyncio.CancelledError:
             if self.waiting.pop(run.number, None) and entry.sent:
-                self.send(peering.Cancel(run.number))
+                self.abandon(run.number)
             raise
         finally:
             self.watch.used_ms = self.owner.now_ms()
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -198,6 +198,7 @@
         self.telling.configuration_version = self.configuration_version
         self.telling.is_uninformed = self.is_uninformed
         self.hub.execute = self.executor.run
+        self.hub.leaves = self.dispatcher.leaves
         self.hub.versions = self.telling.versions
         self.hub.report = self.executor.report
         self.hub.suspects = self.suspects_to_tell
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -27,8 +27,7 @@
 """Work of a node that does not come back is cancelled after this."""
 
 IDEMPOTENT_ORPHAN_S = 0.35
-"""The same for idempotent work: its node connects anew within this, or has
-given it up and asked elsewhere."""
+"""The same for idempotent work that waits, or whose node cannot be reached."""
 
 OFFSET_DRIFT_MS = 0.05
 """Clocks of two hosts drift apart by less than this between two pings."""
@@ -53,16 +52,29 @@
 
 
 class Work:
-    """A request of another node that runs here."""
+    """A request of another node that runs here.
 
-    __slots__ = ("connection", "outcome", "run", "task")
+    Attributes:
+      connection: where its outcome goes.
+      run: the request.
+      sent: whether the target may have begun to run it.
+      task: runs it; None once it has an outcome.
+      outcome: its outcome; None before.
+    """
+
+    __slots__ = ("connection", "outcome", "run", "sent", "task")
 
     def __init__(self, connection: frames.FrameConnection, run: peering.Run):
         self.connection = connection
         self.run = run
+        self.sent = False
         self.task: asyncio.Task | None = None
         self.outcome: peering.Outcome | None = None
 
+    def note_sent(self) -> None:
+        """The target gets the request now."""
+        self.sent = True
+
 
 class Inbound:
     """A connection that another node has opened.
@@ -108,7 +120,8 @@
       chosen_ms: when they were.
       compared_ms: when it last asked a neighbour for what differs.
       offsets: least difference of clocks seen to each other process.
-      execute: runs a request at the target.
+      execute: runs a request at the target, and says when it gets it.
+      leaves: whether a request at a silent node is asked of another now.
       versions: versions of the store's items known here.
       report: load of this node's target.
       suspects: counts to tell peers.
@@ -161,7 +174,10 @@
         self.chosen_ms = now_ms()
         self.compared_ms = 0.0
         self.assigned: set[str] | None = None
-        self.execute: Callable[[peering.Run], Awaitable[peering.Outcome]]
+        self.execute: Callable[
+            [peering.Run, Callable[[], None]], Awaitable[peering.Outcome]
+        ]
+        self.leaves: Callable[[peering.Run], bool]
         self.versions: Callable[[], peering.Versions]
         self.report: Callable[[], choice.Report]
         self.suspects: Callable[[], list[tuple[str, int]]]
@@ -546,35 +562,44 @@
                 peer=inbound.name if inbound else "",
                 reason=connection.rejected,
             )
-        if inbound is not None:
-            for idempotent, wait_s in (
-                (True, IDEMPOTENT_ORPHAN_S),
-                (False, ORPHAN_S),
-            ):
-                self.loop.call_later(
-                    wait_s,
-                    self.cancel_orphans,
-                    connection,
-                    inbound.name,
-                    idempotent,
-                )
+        if inbound is None:
+            return
+        if any(work.connection is connection for work in self.work.values()):
+            link = self.link_to(inbound.name)
+            if link is not None:
+                link.watch.asked = True
+                link.due_ms = 0.0
+        for wait_s, is_last in ((IDEMPOTENT_ORPHAN_S, False), (ORPHAN_S, True)):
+            self.loop.call_later(
+                wait_s, self.cancel_orphans, connection, inbound.name, is_last
+            )
 
     def cancel_orphans(
         self,
         connection: frames.FrameConnection,
         asker: str,
-        idempotent: bool,
+        is_last: bool,
     ) -> None:
-        """Ends the work of a node that has not come back for it."""
+        """Ends the work of a node that has not come back for it.
+
+        Its connection may have been silent only: what the target works at is
+        left to it until the last look, unless it cannot be reached.
+        """
+        link = self.links.get(asker)
+        is_lost = link is None or link.watch.is_lost()
         for work in list(self.work.values()):
             if work.connection is not connection or work.task is None:
                 continue
-            if work.run.idempotent == idempotent:
+            is_due = work.run.idempotent and (is_lost or not work.sent)
+            if is_last or is_due:
                 self.log.write(
                     "work_orphaned",
                     attempt=work.run.attempt,
                     asker=asker,
+                    sent=work.sent,
                 )
+                if work.run.idempotent and not work.sent:
+                    work.outcome = link_module.unreachable(work.run.number)
                 work.task.cancel()
 
     def on_run(
@@ -620,7 +645,7 @@
     async def do(self, work: Work, run: peering.Run) -> None:
         """Runs one request."""
         try:
-            work.outcome = await self.execute(run)
+            work.outcome = await self.execute(run, work.note_sent)
         except Exception as error:
             self.log.write(
                 "fault", where="execute", attempt=run.attempt, error=repr(error)
--- a/tests/common/mesh.py
+++ b/tests/common/mesh.py
@@ -2,6 +2,7 @@
 
 from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import plan
 from auburnrock.engine.mesh import table as table_module
 from auburnrock.engine.mesh import waiting
@@ -144,3 +145,52 @@
         {host: ordered},
         {"portal": model.Service("portal", 120, True)},
     )
+
+
+class Connection:
+    """A connection of another node that keeps what is sent on it.
+
+    Attributes:
+      rejected: as of a connection between nodes.
+      told: the same.
+      sent: messages in their order.
+    """
+
+    __slots__ = ("rejected", "sent", "told")
+
+    def __init__(self, sent: list[peering.Message]):
+        self.rejected = ""
+        self.told: peering.Versions | None = None
+        self.sent = sent
+
+    def send(self, message: peering.Message) -> bool:
+        """Takes a message."""
+        self.sent.append(message)
+        return True
+
+
+def connection(sent: list[peering.Message]) -> Connection:
+    """A connection whose messages go to a list."""
+    return Connection(sent)
+
+
+def run(number: int) -> peering.Run:
+    """An idempotent request for a service without keys."""
+    return peering.Run(
+        number,
+        attempt="at",
+        service="booker",
+        kind="r-check",
+        rank=1,
+        key=model.NO_KEY,
+        idempotent=True,
+        left_ms=500.0,
+        objective_left_ms=100.0,
+        objective_ms=120.0,
+        method=b"GET",
+        path=b"/check/x",
+        headers=[],
+        body=b"",
+        mark="mark",
+        sent_ms=0.0,
+    )
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -14,6 +14,7 @@
 from auburnrock.engine.mesh import repeats
 from auburnrock.shells.mesh import peers
 from auburnrock_standins import mesh_target
+from tests.common import mesh
 from tests.common import mesh_fleet
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
@@ -163,18 +164,9 @@
     silence, and the node counted it as busy until its grace time ended."""
     hub = fleet.hosts[2].node.hub
     sent = []
-
-    class Sender:
-        def send(self, message):
-            sent.append(message)
-
-    run = peering.Run(
-        *(99, "at", "booker", "r-check", 1, -1, True, 500.0, 100.0, 120.0),
-        *(b"GET", b"/check/x", [], b"", "mark", 0.0),
-    )
-    sender = Sender()
+    sender = mesh.connection(sent)
     hub.inbound[sender] = peers.Inbound("x", "start")
-    hub.on_message(sender, run)
+    hub.on_message(sender, mesh.run(99))
     hub.on_message(sender, peering.Cancel(99))
     await asyncio.sleep(0.05)
     del hub.inbound[sender]
@@ -283,8 +275,10 @@
     link.connection.transport.pause_reading()
     watch = link.watch
     await fleet.until(
-        lambda: watch.unanswered_ms
-        and link.owner.now_ms() - watch.unanswered_ms > silent_ms
+        lambda: (
+            watch.unanswered_ms
+            and link.owner.now_ms() - watch.unanswered_ms > silent_ms
+        )
     )
 
 
@@ -303,3 +297,81 @@
     assert asker.node.log.counts["peer_silent"] == before + 1
     assert status == 200
     assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
+def _hold_back(monkeypatch, link, for_s: float) -> None:
+    """Lets a connection be made anew only after a while."""
+    connect = link.connect
+
+    async def connect_late() -> None:
+        await asyncio.sleep(for_s)
+        await connect()
+
+    monkeypatch.setattr(link, "connect", connect_late)
+
+
+async def test_work_goes_on_until_a_silent_node_has_connected_anew(
+    fleet, monkeypatch
+):
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 0.7
+    link = asker.node.hub.links[owner.ip]
+    _hold_back(monkeypatch, link, peers.IDEMPOTENT_ORPHAN_S + 0.2)
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    link.drop_connection()
+    status, _, _ = await asking
+    assert status == 200
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
+async def test_a_caller_that_left_in_a_silence_ends_the_work_after_it(
+    fleet, monkeypatch
+):
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 5.0
+    link = asker.node.hub.links[owner.ip]
+    _hold_back(monkeypatch, link, 0.2)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.1):
+            asking = fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+            asyncio.get_running_loop().call_later(0.05, link.drop_connection)
+            await asking
+    await asyncio.sleep(0.4)
+    assert owner.target.runs
+    assert not owner.node.executor.room.running
+    assert not link.abandoned
+
+
+async def test_work_that_waits_does_not_begin_after_its_node_was_lost(
+    fleet, monkeypatch
+):
+    """What had not been sent to the target is told as not run."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    ended = []
+
+    async def wait_for_a_slot(run, note_sent):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.append(run.number)
+
+    monkeypatch.setattr(hub, "execute", wait_for_a_slot)
+    sent, again = [], []
+    connection = mesh.connection(sent)
+    hub.on_message(connection, peering.Hello("x", "start", False, True))
+    hub.on_message(connection, mesh.run(7))
+    await asyncio.sleep(0.01)
+    hub.on_closed(connection)
+    await asyncio.sleep(0.05)
+    assert ended == [7]
+    back = mesh.connection(again)
+    hub.on_message(back, peering.Hello("x", "start", False, True))
+    hub.on_message(back, mesh.run(7))
+    hub.on_closed(back)
+    outcome = again[-1]
+    assert isinstance(outcome, peering.Refused)
+    assert not outcome.reached
