Pass on a target's own failure where its repeat is turned away

Cause: after a failure that may be improved on, a refusal of the repeat counts as an unknown outcome, and the answer at hand was thrown away. Ruled out: that the answer is out of date: a refusal says that nothing has run since. Where a later try may have run, the outcome stays unknown. Change: the failure is kept and passed on as the target gave it, when the repeat is refused. The test got 502 before, 500 with the target's signature now.

--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -64,6 +64,8 @@
       candidate: the one that is asked now.
       leaves: whether that one is silent and the repeat elsewhere is paid for.
       counted: whether it counts as reached already.
+      failure: the last answer, a failure of its target's own; None if what
+        was asked later may have run.
       impatient: those that declined only to have it wait.
       tries: how often a node was asked.
       targets: nodes whose target may have begun to run it.
@@ -76,6 +78,7 @@
         "closes_ms",
         "counted",
         "deadline_ms",
+        "failure",
         "head",
         "impatient",
         "keyed",
@@ -104,6 +107,7 @@
         self.tries = 0
         self.reached = 0
         self.lost = False
+        self.failure: peering.Answered | None = None
         self.candidate: choice.Candidate | None = None
         self.leaves = False
         self.counted = False
@@ -224,6 +228,8 @@
             return self._refuse_early(head, errors.ErrorKind.BAD_REQUEST, 0.0)
         self._budget(attempt.service).on_request(self.now_ms())
         outcome = await self._see_through(attempt)
+        if isinstance(outcome, peering.Refused) and attempt.failure is not None:
+            outcome = attempt.failure
         return self._answer(attempt, outcome)
 
     def _attempt(
@@ -294,10 +300,12 @@
                 if not self._improvable(attempt, outcome):
                     return outcome
                 attempt.lost = True
+                attempt.failure = outcome
                 if not self._may_repeat(attempt, "bad_answer"):
                     return outcome
             elif isinstance(outcome, peering.Lost):
                 attempt.lost = True
+                attempt.failure = None
                 if not attempt.leaves and not self._may_repeat(attempt, "lost"):
                     return outcome
             elif not await self._goes_on(attempt, outcome, candidate):
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -12,6 +12,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
+from auburnrock.shells.mesh import link as link_module
 from auburnrock.shells.mesh import peers
 from auburnrock_standins import mesh_target
 from tests.common import mesh
@@ -375,3 +376,25 @@
     outcome = again[-1]
     assert isinstance(outcome, peering.Refused)
     assert not outcome.reached
+
+
+async def test_a_targets_own_failure_is_passed_on_if_no_repeat_is_taken(
+    fleet, monkeypatch
+):
+    """A bare 502 took its place where the repeat was turned away."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.status = 500
+    run = owner.node.executor.run
+
+    async def run_first_only(request, *rest):
+        if owner.target.runs:
+            return link_module.unreachable(request.number)
+        return await run(request, *rest)
+
+    monkeypatch.setattr(owner.node.hub, "execute", run_first_only)
+    status, _, headers = await fleet.ask(
+        asker, "/lookup/x", key=_key_of(asker, owner)
+    )
+    assert status == 500
+    assert headers["auburnrock-response-seal"]
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
