Do not end requests at a node because its record is gone

What callers would see: 502 (outcome_unknown) for every request at a node whose record is removed or has another address, while its target runs them; the node that was asked then breaks them off. Cause: Hub.set_members stopped the link, which settles all that waits on it. The class: a run given up on something other than its own outcome. Change: such a link is retired. It takes no more requests and refuses those that were not sent; it is kept, and connected anew if need be, while something waits on it, and then ends. It calls no node silent: the record may be elsewhere. A request at a node that is gone for certain ends as before (refused connection, another process, another target that is asked in its place) or at its deadline. Tests: test_a_removed_record_does_not_end_requests_that_run failed 3 of 3 before (502) and passes 3 of 3; the one beside it passes before and after. Tests of requests, links, ownership and pages pass (94).

--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -104,6 +104,7 @@
       greeted: whether the other end has said who it is.
       start: the other process's start as it said last.
       leaving: whether the other process has said that it ends.
+      retired: whether the other node's record is gone or has another address.
       waiting: requests without an outcome, by number.
       abandoned: numbers of requests that nobody waits for any more, which the
         other node has not been told; the values say nothing.
@@ -121,6 +122,7 @@
         self.greeted = False
         self.start = ""
         self.leaving = False
+        self.retired = False
         self.was_heard = False
         self.waiting: dict[int, Waiting] = {}
         self.abandoned: dict[int, None] = {}
@@ -138,6 +140,8 @@
 
     def _step(self, now_ms: float) -> bool:
         self.watch.waiting = len(self.waiting) + len(self.questions)
+        if self.retired and not self.watch.waiting:
+            return False
         step = self.watch.step(now_ms)
         if step is linking.Step.CONNECT:
             self.watch.connecting = True
@@ -188,7 +192,8 @@
             else:
                 self.refuse_unsent()
                 self.leave_silent()
-            self.owner.lose_node(self, refused)
+            if not self.retired:
+                self.owner.lose_node(self, refused)
             return
         self.greeted = False
         self.connection = connection
@@ -343,7 +348,7 @@
     async def run(self, run: peering.Run) -> peering.Outcome:
         """Has the other node run a request."""
         now_ms = self.owner.now_ms()
-        if self.leaving or self.watch.is_lost():
+        if self.leaving or self.retired or self.watch.is_lost():
             self.watch.asked = True
             return unreachable(run.number)
         entry = Waiting(run, self.loop.create_future(), now_ms)
@@ -405,6 +410,17 @@
         """Whether a request can be sent to the node now."""
         return self.connection is not None and self.greeted and not self.leaving
 
+    def retire(self) -> None:
+        """Takes no more requests; the link ends once none waits.
+
+        The node may be at work on those that were sent, whatever became of its
+        record.
+        """
+        self.retired = True
+        self.watch.duty = False
+        self.due_ms = 0.0
+        self.refuse_unsent()
+
     def stop(self) -> None:
         """Ends the connection for good."""
         if self.opening is not None:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -108,6 +108,8 @@
       members: records of all nodes.
       neighbours: nodes with which this one compares its directory.
       links: connections that this node has opened or opens, by name.
+      retired: links to nodes whose record has gone or changed, while requests
+        wait on them.
       inbound: connections that others have opened.
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
@@ -162,6 +164,7 @@
         self.members: dict[str, model.Member] = {}
         self.neighbours: set[str] = set()
         self.links: dict[str, link_module.Link] = {}
+        self.retired: list[link_module.Link] = []
         self.inbound: dict[frames.FrameConnection, Inbound] = {}
         self.work: dict[tuple[str, str, int], Work] = {}
         self.sent_bytes: dict[str, int] = {}
@@ -257,7 +260,8 @@
         for name, link in list(self.links.items()):
             member = members.get(name)
             if member is None or member.address != link.member.address:
-                link.stop()
+                link.retire()
+                self.retired.append(link)
                 del self.links[name]
             else:
                 link.member = member
@@ -328,6 +332,10 @@
             if now_ms >= link.due_ms and not link.step():
                 link.stop()
                 del self.links[name]
+        for link in list(self.retired):
+            if not link.step():
+                link.stop()
+                self.retired.remove(link)
 
     def tell_own(self, entry: membership.Entry) -> None:
         """Spreads what this node says of itself, if it has changed."""
@@ -676,5 +684,5 @@
             task.cancel()
         for connection in list(self.inbound):
             connection.abort()
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.retired]:
             link.stop()
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -375,3 +375,50 @@
     outcome = again[-1]
     assert isinstance(outcome, peering.Refused)
     assert not outcome.reached
+
+
+@contextlib.asynccontextmanager
+async def _record_removed(fleet, hub, name):
+    """Has one node not know the record of another for a while."""
+    records = hub.members
+    hub.set_members(
+        {known: each for known, each in records.items() if known != name}
+    )
+    try:
+        yield
+    finally:
+        hub.set_members(records)
+        await fleet.until(
+            lambda: name in hub.links and hub.links[name].usable()
+        )
+
+
+async def test_a_removed_record_does_not_end_requests_that_run(fleet):
+    """Each of them was answered 502 while its target ran it."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 0.3
+    hub = asker.node.hub
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    link = hub.links[owner.ip]
+    async with _record_removed(fleet, hub, owner.ip):
+        assert owner.ip not in hub.links
+        status, _, _ = await asking
+        await fleet.until(lambda: link.connection is None)
+    assert status == 200
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
+async def test_a_request_that_was_not_sent_ends_with_its_nodes_record(fleet):
+    asker, owner = fleet.hosts[:2]
+    hub = asker.node.hub
+    link = hub.links[owner.ip]
+    link.greeted = False
+    asking = asyncio.create_task(link.run(mesh.run(1 << 40)))
+    await fleet.until(lambda: link.waiting)
+    async with _record_removed(fleet, hub, owner.ip):
+        outcome = await asking
+    assert isinstance(outcome, peering.Refused)
+    assert not outcome.reached
