Count a part of a long message as a sign of life of its node

What callers would see: 502, or a repeat, for requests at a node that is sending: a frame of 600 KB takes a second at 5 Mbit/s, and a pong waits behind it. The connection is given up after 0.9 s without a whole message, and what was read of the frame is dropped and sent again. Cause: only whole messages cleared the silence of a connection. Change: a part of a message sets the time back from which silence counts. It does not answer the ping, so a node that stops in the middle is noticed as before. Still open: a ping that waits behind a long frame of the asker's own.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -64,7 +64,8 @@
       waiting: requests without an outcome.
       used_ms: when a request last used it.
       pinged_ms: when it was last pinged on this connection.
-      unanswered_ms: when the first ping without an answer went; 0 for none.
+      unanswered_ms: when the first ping without an answer went, or a part of an
+        answer came since; 0 for none.
       failures: attempts to connect that failed in a row.
       retry_at_ms: no attempt before.
     """
@@ -179,3 +180,8 @@
     def on_answer(self) -> None:
         """The other node has answered something."""
         self.unanswered_ms = 0.0
+
+    def on_part(self, now_ms: float) -> None:
+        """A part of an answer has come; the rest may be held up behind it."""
+        if self.unanswered_ms:
+            self.unanswered_ms = now_ms
--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -26,6 +26,7 @@
     Attributes:
       rejected: why this end has broken off the connection; empty otherwise.
       told: versions that this end last named.
+      on_part: called when a part of a message has come.
       sent_bytes: bytes written by kind of message, over all connections.
     """
 
@@ -34,8 +35,10 @@
         on_message: Callable[["FrameConnection", peering.Message], None],
         on_closed: Callable[["FrameConnection"], None],
         sent_bytes: dict[str, int],
+        on_part: Callable[[], None] = lambda: None,
     ):
         self.on_message = on_message
+        self.on_part = on_part
         self.on_closed = on_closed
         self.sent_bytes = sent_bytes
         self.transport: asyncio.Transport | None = None
@@ -68,6 +71,7 @@
                 return
             end = LENGTH_BYTES + size
             if len(self.buffer) < end:
+                self.on_part()
                 return
             frame = bytes(self.buffer[LENGTH_BYTES:end])
             del self.buffer[:end]
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -173,6 +173,7 @@
                         self.on_message,
                         self.on_closed,
                         self.owner.sent_bytes,
+                        self.on_part,
                     ),
                     host,
                     int(port),
@@ -267,6 +268,10 @@
         else:
             self.owner.take_answer(self, message)
 
+    def on_part(self) -> None:
+        """A part of a message has come, so the other node is not silent."""
+        self.watch.on_part(self.owner.now_ms())
+
     def on_hello(self, hello: peering.Hello) -> None:
         """Sends what waits, again if it is the process that has it already."""
         if self.start and hello.start != self.start:
--- a/tests/cover/test_mesh_linking.py
+++ b/tests/cover/test_mesh_linking.py
@@ -61,6 +61,19 @@
     assert watch.step(1_000.0) is not Step.GIVE_UP
 
 
+def test_a_part_of_an_answer_puts_off_the_silence_only():
+    watch = opened(duty=True)
+    watch.on_part(1.0)
+    watch.on_pinged(100.0)
+    watch.on_part(800.0)
+    watch.on_pinged(900.0)
+    assert watch.step(800.0 + linking.SILENT_MS) is not Step.GIVE_UP
+    assert watch.step(801.0 + linking.SILENT_MS) is Step.GIVE_UP
+    watch = opened(duty=True)
+    watch.on_part(1.0)
+    assert not watch.unanswered_ms
+
+
 def test_attempts_to_reach_a_lost_node_grow_rare():
     watch = linking.Watch(0.0)
     watch.duty = True
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -9,6 +9,7 @@
 import pytest
 import pytest_asyncio
 
+from auburnrock.engine.mesh import linking
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
@@ -422,3 +423,17 @@
         outcome = await asking
     assert isinstance(outcome, peering.Refused)
     assert not outcome.reached
+
+
+async def test_a_part_of_a_long_message_is_a_sign_of_life(fleet):
+    """A frame of 600 KB takes a second at 5 Mbit/s, and a pong behind it."""
+    asker, other = fleet.hosts[:2]
+    link = asker.node.hub.links[other.ip]
+    await fleet.until(link.usable)
+    connection = link.connection
+    link.watch.unanswered_ms = link.owner.now_ms() - 2 * linking.SILENT_MS
+    connection.data_received((600_000).to_bytes(4, "big") + bytes(1_000))
+    assert link.step()
+    assert link.connection is connection
+    link.drop_connection()
+    await fleet.until(link.usable)
