Keep work with the newer connection when its request comes again on the old

What callers would see: 502 or 504 while their target ran the request, after a silence: the outcome went to the connection that its node had left, or the run was broken off when that one ended. Cause: a request that is sent again on a new connection may come before the same one on the old connection, whose bytes wait at a full link; whichever came last got the work, and the end of the old connection then orphaned it. Since idempotent requests are kept in a silence, it can act on all requests and not on a few. Change: a connection takes work over only from one that was opened before it, or that has ended.

--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+import itertools
 import random
 
 import msgspec
@@ -82,14 +83,16 @@
     Attributes:
       name: the other node.
       start: tells its process from earlier ones.
+      number: orders the connections to this process by their opening.
       differing: pings in a row whose sum was another than here.
     """
 
-    __slots__ = ("differing", "name", "start")
+    __slots__ = ("differing", "name", "number", "start")
 
-    def __init__(self, name: str, start: str):
+    def __init__(self, name: str, start: str, number: int = 0):
         self.name = name
         self.start = start
+        self.number = number
         # What has changed before the connection was opened was not told on it.
         self.differing = SUMS_DIFFER - 1
 
@@ -111,6 +114,7 @@
       retired: links to nodes whose record has gone or changed, while requests
         wait on them.
       inbound: connections that others have opened.
+      inbound_numbers: numbers for these.
       work: requests of other nodes, by node, its start and number.
       sent_bytes: bytes written to other nodes, by kind of message.
       chance: chooses whom to ask.
@@ -166,6 +170,7 @@
         self.links: dict[str, link_module.Link] = {}
         self.retired: list[link_module.Link] = []
         self.inbound: dict[frames.FrameConnection, Inbound] = {}
+        self.inbound_numbers = itertools.count(1)
         self.work: dict[tuple[str, str, int], Work] = {}
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
@@ -474,7 +479,9 @@
     ) -> None:
         """Takes what another node asks."""
         if isinstance(message, peering.Hello):
-            self.inbound[connection] = Inbound(message.name, message.start)
+            self.inbound[connection] = Inbound(
+                message.name, message.start, next(self.inbound_numbers)
+            )
             connection.send(self.hello(self.asks_for_snapshot()))
             if message.name not in self.members:
                 self.on_stranger(message.name, connection)
@@ -620,6 +627,8 @@
         mark = (*origin, run.number)
         work = self.work.get(mark)
         if work is not None:
+            if self.is_older(connection, work.connection):
+                return
             work.connection = connection
             if work.outcome is not None:
                 connection.send(work.outcome)
@@ -637,6 +646,21 @@
             lambda _: self.finish(mark, work, run.number)
         )
 
+    def is_older(
+        self,
+        connection: frames.FrameConnection,
+        other: frames.FrameConnection,
+    ) -> bool:
+        """Whether a connection was opened before another that is still open.
+
+        What was sent on it may come after what was sent again on the other.
+        """
+        known = self.inbound.get(connection)
+        latest = self.inbound.get(other)
+        if known is None or latest is None:
+            return False
+        return known.number < latest.number
+
     def note_offset(self, origin: tuple[str, str], sent_ms: float) -> None:
         """Takes the difference of clocks that a ping shows at most."""
         offset_ms = self.now_ms() - sent_ms
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -13,6 +13,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
+from auburnrock.shells.mesh import link as link_module
 from auburnrock.shells.mesh import peers
 from auburnrock_standins import mesh_target
 from tests.common import mesh
@@ -437,3 +438,39 @@
     assert link.connection is connection
     link.drop_connection()
     await fleet.until(link.usable)
+
+
+def _inbound(hub, name: str) -> tuple[mesh.Connection, list]:
+    """A connection of another node that has said who it is."""
+    sent = []
+    connection = mesh.connection(sent)
+    hub.on_message(connection, peering.Hello(name, "start", False, True))
+    return connection, sent
+
+
+async def test_a_request_that_comes_late_on_an_old_connection_changes_nothing(
+    fleet, monkeypatch
+):
+    """Its bytes were held up at a full link, and then its end was taken for
+    that of the node that waits on the new connection."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    monkeypatch.setattr(peers, "ORPHAN_S", 0.02)
+    refusal = link_module.unreachable(11)
+
+    async def run_for_a_while(run, note_sent):
+        note_sent()
+        await asyncio.sleep(0.1)
+        return refusal
+
+    monkeypatch.setattr(hub, "execute", run_for_a_while)
+    old, old_sent = _inbound(hub, "x")
+    new, new_sent = _inbound(hub, "x")
+    hub.on_message(new, mesh.run(11))
+    await asyncio.sleep(0.01)
+    hub.on_message(old, mesh.run(11))
+    hub.on_closed(old)
+    await asyncio.sleep(0.15)
+    hub.on_closed(new)
+    assert refusal in new_sent
+    assert refusal not in old_sent
