Do not run a request that comes after its cancel

What callers would see: nothing; targets run requests whose callers have left, or that are asked of another target already (GONE, and a run that no budget counts). Cause: what was cancelled in a silence is cancelled on the next connection. The request itself may still wait on the old one; the cancel was ignored as that of an unknown request, and the request then ran to its end. Change: a cancel of an unknown request is kept for a while, and the request is dropped when it comes. Numbers are never used twice by a process. Tests: test_a_request_that_comes_after_its_cancel_does_not_run failed 3 of 3 before and passes 3 of 3.

--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -24,6 +24,9 @@
 RESULT_KEPT_S = 3.0
 """Results wait so long for a connection to be made anew."""
 
+CANCEL_KEPT_S = 3.0
+"""Longer than bytes wait on an ended connection (frames.USER_TIMEOUT_MS)."""
+
 ORPHAN_S = 1.5
 """Work of a node that does not come back is cancelled after this."""
 
@@ -116,6 +119,7 @@
       inbound: connections that others have opened.
       inbound_numbers: numbers for these.
       work: requests of other nodes, by node, its start and number.
+      cancelled: requests that were cancelled and are not known here.
       sent_bytes: bytes written to other nodes, by kind of message.
       chance: chooses whom to ask.
       assigned: witnesses for which duties were last assigned.
@@ -172,6 +176,7 @@
         self.inbound: dict[frames.FrameConnection, Inbound] = {}
         self.inbound_numbers = itertools.count(1)
         self.work: dict[tuple[str, str, int], Work] = {}
+        self.cancelled: set[tuple[str, str, int]] = set()
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
@@ -513,9 +518,7 @@
         elif isinstance(message, peering.Run):
             self.on_run(connection, origin, message)
         elif isinstance(message, peering.Cancel):
-            work = self.work.get((*origin, message.number))
-            if work is not None and work.task is not None:
-                work.task.cancel()
+            self.on_cancel((*origin, message.number))
         elif isinstance(message, peering.Silence):
             silent_ms = self.on_silence(message.name)
             connection.send(peering.SilentFor(message.name, silent_ms))
@@ -625,6 +628,8 @@
     ) -> None:
         """Runs a request once, however often it is sent."""
         mark = (*origin, run.number)
+        if mark in self.cancelled:
+            return
         work = self.work.get(mark)
         if work is not None:
             if self.is_older(connection, work.connection):
@@ -646,6 +651,17 @@
             lambda _: self.finish(mark, work, run.number)
         )
 
+    def on_cancel(self, mark: tuple[str, str, int]) -> None:
+        """Ends a request, also one that is still on its way."""
+        if mark in self.cancelled:
+            return
+        work = self.work.get(mark)
+        if work is None:
+            self.cancelled.add(mark)
+            self.loop.call_later(CANCEL_KEPT_S, self.cancelled.discard, mark)
+        elif work.task is not None:
+            work.task.cancel()
+
     def is_older(
         self,
         connection: frames.FrameConnection,
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -474,3 +474,27 @@
     hub.on_closed(new)
     assert refusal in new_sent
     assert refusal not in old_sent
+
+
+async def test_a_request_that_comes_after_its_cancel_does_not_run(
+    fleet, monkeypatch
+):
+    """The cancel is sent on a new connection, and may be there first."""
+    hub = fleet.hosts[0].node.hub
+    ran = []
+
+    async def note(run, note_sent):
+        ran.append(run.number)
+        return link_module.unreachable(run.number)
+
+    monkeypatch.setattr(hub, "execute", note)
+    old, _ = _inbound(hub, "x")
+    new, _ = _inbound(hub, "x")
+    hub.on_message(new, peering.Cancel(12))
+    hub.on_message(old, mesh.run(12))
+    hub.on_message(old, mesh.run(13))
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    hub.on_closed(new)
+    assert ran == [13]
+    assert hub.busy() == 0
