--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+import itertools
 import random
 
 import msgspec
@@ -23,6 +24,9 @@
 RESULT_KEPT_S = 3.0
 """Results wait so long for a connection to be made anew."""
 
+CANCEL_KEPT_S = 3.0
+"""Longer than bytes wait on an ended connection (frames.USER_TIMEOUT_MS)."""
+
 ORPHAN_S = 1.5
 """Work of a node that does not come back is cancelled after this."""
 
@@ -82,14 +86,16 @@
     Attributes:
       name: the other node.
       start: tells its process from earlier ones.
+      number: orders the connections to this process by their opening.
       differing: pings in a row whose sum was another than here.
     """
 
-    __slots__ = ("differing", "name", "start")
+    __slots__ = ("differing", "name", "number", "start")
 
-    def __init__(self, name: str, start: str):
+    def __init__(self, name: str, start: str, number: int = 0):
         self.name = name
         self.start = start
+        self.number = number
         # What has changed before the connection was opened was not told on it.
         self.differing = SUMS_DIFFER - 1
 
@@ -108,8 +114,12 @@
       members: records of all nodes.
       neighbours: nodes with which this one compares its directory.
       links: connections that this node has opened or opens, by name.
+      retired: links to nodes whose record has gone or changed, while requests
+        wait on them.
       inbound: connections that others have opened.
+      inbound_numbers: numbers for these.
       work: requests of other nodes, by node, its start and number.
+      cancelled: requests that were cancelled and are not known here.
       sent_bytes: bytes written to other nodes, by kind of message.
       chance: chooses whom to ask.
       assigned: witnesses for which duties were last assigned.
@@ -162,8 +172,11 @@
         self.members: dict[str, model.Member] = {}
         self.neighbours: set[str] = set()
         self.links: dict[str, link_module.Link] = {}
+        self.retired: list[link_module.Link] = []
         self.inbound: dict[frames.FrameConnection, Inbound] = {}
+        self.inbound_numbers = itertools.count(1)
         self.work: dict[tuple[str, str, int], Work] = {}
+        self.cancelled: set[tuple[str, str, int]] = set()
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
@@ -257,7 +270,8 @@
         for name, link in list(self.links.items()):
             member = members.get(name)
             if member is None or member.address != link.member.address:
-                link.stop()
+                link.retire()
+                self.retired.append(link)
                 del self.links[name]
             else:
                 link.member = member
@@ -328,6 +342,10 @@
             if now_ms >= link.due_ms and not link.step():
                 link.stop()
                 del self.links[name]
+        for link in list(self.retired):
+            if not link.step():
+                link.stop()
+                self.retired.remove(link)
 
     def tell_own(self, entry: membership.Entry) -> None:
         """Spreads what this node says of itself, if it has changed."""
@@ -466,7 +484,9 @@
     ) -> None:
         """Takes what another node asks."""
         if isinstance(message, peering.Hello):
-            self.inbound[connection] = Inbound(message.name, message.start)
+            self.inbound[connection] = Inbound(
+                message.name, message.start, next(self.inbound_numbers)
+            )
             connection.send(self.hello(self.asks_for_snapshot()))
             if message.name not in self.members:
                 self.on_stranger(message.name, connection)
@@ -498,9 +518,7 @@
         elif isinstance(message, peering.Run):
             self.on_run(connection, origin, message)
         elif isinstance(message, peering.Cancel):
-            work = self.work.get((*origin, message.number))
-            if work is not None and work.task is not None:
-                work.task.cancel()
+            self.on_cancel((*origin, message.number))
         elif isinstance(message, peering.Silence):
             silent_ms = self.on_silence(message.name)
             connection.send(peering.SilentFor(message.name, silent_ms))
@@ -610,8 +628,12 @@
     ) -> None:
         """Runs a request once, however often it is sent."""
         mark = (*origin, run.number)
+        if mark in self.cancelled:
+            return
         work = self.work.get(mark)
         if work is not None:
+            if self.is_older(connection, work.connection):
+                return
             work.connection = connection
             if work.outcome is not None:
                 connection.send(work.outcome)
@@ -629,6 +651,32 @@
             lambda _: self.finish(mark, work, run.number)
         )
 
+    def on_cancel(self, mark: tuple[str, str, int]) -> None:
+        """Ends a request, also one that is still on its way."""
+        if mark in self.cancelled:
+            return
+        work = self.work.get(mark)
+        if work is None:
+            self.cancelled.add(mark)
+            self.loop.call_later(CANCEL_KEPT_S, self.cancelled.discard, mark)
+        elif work.task is not None:
+            work.task.cancel()
+
+    def is_older(
+        self,
+        connection: frames.FrameConnection,
+        other: frames.FrameConnection,
+    ) -> bool:
+        """Whether a connection was opened before another that is still open.
+
+        What was sent on it may come after what was sent again on the other.
+        """
+        known = self.inbound.get(connection)
+        latest = self.inbound.get(other)
+        if known is None or latest is None:
+            return False
+        return known.number < latest.number
+
     def note_offset(self, origin: tuple[str, str], sent_ms: float) -> None:
         """Takes the difference of clocks that a ping shows at most."""
         offset_ms = self.now_ms() - sent_ms
@@ -676,5 +724,5 @@
             task.cancel()
         for connection in list(self.inbound):
             connection.abort()
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.retired]:
             link.stop()
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -9,6 +9,7 @@
 import pytest
 import pytest_asyncio
 
+from auburnrock.engine.mesh import linking
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
@@ -398,3 +399,124 @@
     assert status == 500
     assert headers["auburnrock-response-seal"]
     assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
+@contextlib.asynccontextmanager
+async def _record_removed(fleet, hub, name):
+    """Has one node not know the record of another for a while."""
+    records = hub.members
+    hub.set_members(
+        {known: each for known, each in records.items() if known != name}
+    )
+    try:
+        yield
+    finally:
+        hub.set_members(records)
+        await fleet.until(
+            lambda: name in hub.links and hub.links[name].usable()
+        )
+
+
+async def test_a_removed_record_does_not_end_requests_that_run(fleet):
+    """Each of them was answered 502 while its target ran it."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 0.3
+    hub = asker.node.hub
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    link = hub.links[owner.ip]
+    async with _record_removed(fleet, hub, owner.ip):
+        assert owner.ip not in hub.links
+        status, _, _ = await asking
+        await fleet.until(lambda: link.connection is None)
+    assert status == 200
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
+async def test_a_request_that_was_not_sent_ends_with_its_nodes_record(fleet):
+    asker, owner = fleet.hosts[:2]
+    hub = asker.node.hub
+    link = hub.links[owner.ip]
+    link.greeted = False
+    asking = asyncio.create_task(link.run(mesh.run(1 << 40)))
+    await fleet.until(lambda: link.waiting)
+    async with _record_removed(fleet, hub, owner.ip):
+        outcome = await asking
+    assert isinstance(outcome, peering.Refused)
+    assert not outcome.reached
+
+
+async def test_a_part_of_a_long_message_is_a_sign_of_life(fleet):
+    """A frame of 600 KB takes a second at 5 Mbit/s, and a pong behind it."""
+    asker, other = fleet.hosts[:2]
+    link = asker.node.hub.links[other.ip]
+    await fleet.until(link.usable)
+    connection = link.connection
+    link.watch.unanswered_ms = link.owner.now_ms() - 2 * linking.SILENT_MS
+    connection.data_received((600_000).to_bytes(4, "big") + bytes(1_000))
+    assert link.step()
+    assert link.connection is connection
+    link.drop_connection()
+    await fleet.until(link.usable)
+
+
+def _inbound(hub, name: str) -> tuple[mesh.Connection, list]:
+    """A connection of another node that has said who it is."""
+    sent = []
+    connection = mesh.connection(sent)
+    hub.on_message(connection, peering.Hello(name, "start", False, True))
+    return connection, sent
+
+
+async def test_a_request_that_comes_late_on_an_old_connection_changes_nothing(
+    fleet, monkeypatch
+):
+    """Its bytes were held up at a full link, and then its end was taken for
+    that of the node that waits on the new connection."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    monkeypatch.setattr(peers, "ORPHAN_S", 0.02)
+    refusal = link_module.unreachable(11)
+
+    async def run_for_a_while(run, note_sent):
+        note_sent()
+        await asyncio.sleep(0.1)
+        return refusal
+
+    monkeypatch.setattr(hub, "execute", run_for_a_while)
+    old, old_sent = _inbound(hub, "x")
+    new, new_sent = _inbound(hub, "x")
+    hub.on_message(new, mesh.run(11))
+    await asyncio.sleep(0.01)
+    hub.on_message(old, mesh.run(11))
+    hub.on_closed(old)
+    await asyncio.sleep(0.15)
+    hub.on_closed(new)
+    assert refusal in new_sent
+    assert refusal not in old_sent
+
+
+async def test_a_request_that_comes_after_its_cancel_does_not_run(
+    fleet, monkeypatch
+):
+    """The cancel is sent on a new connection, and may be there first."""
+    hub = fleet.hosts[0].node.hub
+    ran = []
+
+    async def note(run, note_sent):
+        ran.append(run.number)
+        return link_module.unreachable(run.number)
+
+    monkeypatch.setattr(hub, "execute", note)
+    old, _ = _inbound(hub, "x")
+    new, _ = _inbound(hub, "x")
+    hub.on_message(new, peering.Cancel(12))
+    hub.on_message(old, mesh.run(12))
+    hub.on_message(old, mesh.run(13))
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    hub.on_closed(new)
+    assert ran == [13]
+    assert hub.busy() == 0
