Let an answer of the store that keeps coming take longer than a call

Cause: a call ended after 1.2 s, though its 260 KB were on their way, and was made again from the start; each try filled the link some more. Ruled out: the store (other nodes read it in milliseconds at the time). Change: each part of an answer extends the call's time by 1.2 s, up to 6 s. A call without a first byte ends as before.

--- a/src/auburnrock/platform/store.py
+++ b/src/auburnrock/platform/store.py
@@ -14,6 +14,10 @@
 CALL_TIMEOUT_S = 1.2
 """The store answers in 4 ms; a call this late meets a lost connection."""
 
+CALL_MAX_S = 6.0
+"""The same for an answer that keeps coming: a configuration of 1,300 routes is
+260 KB, and callers may fill the link."""
+
 WATCH_MARGIN_S = 1.0
 """A watch answers at the end of its wait; later it meets a lost one."""
 
@@ -124,7 +128,7 @@
             {"path_prefix": prefix, "after": after, "wait_ms": wait_ms}
         )
         answer = await self._ask(
-            f"/auburnrock/kv-watch?{query}", wait_ms / 1_000 + WATCH_MARGIN_S
+            f"/auburnrock/kv-watch?{query}", wait_ms / 1_000
         )
         if answer.status == 410:
             raise coordination.HistoryLostError("the history is gone")
@@ -160,10 +164,9 @@
         """Ends the idle connections."""
         self.client.close()
 
-    async def _ask(
-        self, path: str, timeout_s: float = CALL_TIMEOUT_S
-    ) -> http_client.Answer:
-        """A call without an effect."""
+    async def _ask(self, path: str, wait_s: float = 0.0) -> http_client.Answer:
+        """A call without an effect, to which the answer may wait."""
+        timeout_s = wait_s + WATCH_MARGIN_S if wait_s else CALL_TIMEOUT_S
         try:
             return await self._exchange(b"GET", path, b"", timeout_s)
         except coordination.StoreUnknownError as error:
@@ -180,7 +183,8 @@
         headers = [(b"host", self.address.encode()), *forms.BODY_HEADERS]
         data = http_client.encode_request(method, path.encode(), headers, body)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+                connection.on_part = _extension(limit, timeout_s)
                 answer = await connection.exchange(data, lambda _: True)
         except (http_client.BrokenError, TimeoutError) as error:
             connection.abort()
@@ -189,6 +193,8 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
+        finally:
+            connection.on_part = http_client.ignore_part
         self.client.give_back(connection)
         if answer.status in (429, 503, 403, 400):
             text = answer.body[:200].decode(errors="replace")
@@ -209,6 +215,19 @@
             raise coordination.StoreUnknownError(str(error)) from error
 
 
+def _extension(limit: asyncio.Timeout, timeout_s: float) -> Callable[[], None]:
+    """What extends a call's time while parts of its answer come."""
+    loop = asyncio.get_running_loop()
+    last_s = loop.time() + timeout_s + CALL_MAX_S - CALL_TIMEOUT_S
+
+    def extend() -> None:
+        until_s = min(loop.time() + CALL_TIMEOUT_S, last_s)
+        if until_s > limit.when() and not limit.expired():
+            limit.reschedule(until_s)
+
+    return extend
+
+
 def _item(wire: _Item | _Read) -> coordination.Item:
     if wire.value is None:
         return coordination.Item(wire.key, None, wire.rev)
--- a/src/auburnrock/shells/mesh/http_client.py
+++ b/src/auburnrock/shells/mesh/http_client.py
@@ -68,8 +68,16 @@
         self.nobody = nobody
 
 
+def ignore_part() -> None:
+    """Nobody needs to know that a part of an answer has come."""
+
+
 class Connection(asyncio.Protocol):
-    """A connection and the exchange on it."""
+    """A connection and the exchange on it.
+
+    Attributes:
+      on_part: called when a part of an answer has come.
+    """
 
     def __init__(self, now_ms: Callable[[], float]):
         self.now_ms = now_ms
@@ -82,6 +90,7 @@
         self.idle_since_ms = now_ms()
         self.idle_max_ms = IDLE_DEFAULT_MS
         self.clean_end = False
+        self.on_part: Callable[[], None] = ignore_part
         self.begin()
 
     def begin(self) -> None:
@@ -122,6 +131,7 @@
             # Nothing was asked, so this belongs to no request.
             self.abort()
             return
+        self.on_part()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
