Keep the result of a request for as long as it may be sent again

What callers would see: a request that must not run twice runs twice, if its node is cut off for over 3 s and its route's timeout is longer; an idempotent one runs again without a budget. Cause: the number of a request was forgotten 3 s after its outcome, while its node sends it again as long as a caller waits. Change: the number is kept until the request's time is over, if that is later. Tests: test_a_request_sent_again_in_its_time_does_not_run_again failed 3 of 3 before and passes 3 of 3.

--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -22,7 +22,12 @@
 from auburnrock.shells.mesh import link as link_module
 
 RESULT_KEPT_S = 3.0
-"""Results wait so long for a connection to be made anew."""
+"""Results wait so long for a connection to be made anew, or until their
+requests are not sent again."""
+
+RESENT_MS = 100.0
+"""Longer than a request is sent again after its deadline
+(dispatcher.OVERTIME_MS)."""
 
 CANCEL_KEPT_S = 3.0
 """Longer than bytes wait on an ended connection (frames.USER_TIMEOUT_MS)."""
@@ -62,15 +67,29 @@
       connection: where its outcome goes.
       run: the request.
       sent: whether the target may have begun to run it.
+      resent_until_ms: when its node has given it up.
       task: runs it; None once it has an outcome.
       outcome: its outcome; None before.
     """
 
-    __slots__ = ("connection", "outcome", "run", "sent", "task")
+    __slots__ = (
+        "connection",
+        "outcome",
+        "resent_until_ms",
+        "run",
+        "sent",
+        "task",
+    )
 
-    def __init__(self, connection: frames.FrameConnection, run: peering.Run):
+    def __init__(
+        self,
+        connection: frames.FrameConnection,
+        run: peering.Run,
+        resent_until_ms: float,
+    ):
         self.connection = connection
         self.run = run
+        self.resent_until_ms = resent_until_ms
         self.sent = False
         self.task: asyncio.Task | None = None
         self.outcome: peering.Outcome | None = None
@@ -638,7 +657,7 @@
             if work.outcome is not None:
                 connection.send(work.outcome)
             return
-        work = Work(connection, run)
+        work = Work(connection, run, self.now_ms() + run.left_ms + RESENT_MS)
         self.work[mark] = work
         late_ms = self.on_the_way_ms(origin, run.sent_ms)
         run = msgspec.structs.replace(
@@ -714,7 +733,10 @@
                 choice.NO_TARGET,
             )
         work.connection.send(work.outcome)
-        self.loop.call_later(RESULT_KEPT_S, self.work.pop, mark, None)
+        kept_s = (work.resent_until_ms - self.now_ms()) / 1_000
+        self.loop.call_later(
+            max(RESULT_KEPT_S, kept_s), self.work.pop, mark, None
+        )
 
     def stop(self) -> None:
         """Ends all connections."""
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -522,3 +522,32 @@
         link.watch.duty = True
         await fleet.until(lambda: not other.node.executor.room.running)
     assert not link.abandoned
+
+
+async def test_a_request_sent_again_in_its_time_does_not_run_again(
+    fleet, monkeypatch
+):
+    """Its node may be cut off for longer than results are kept."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "RESULT_KEPT_S", 0.01)
+    ran = []
+
+    async def note(run, note_sent):
+        note_sent()
+        ran.append(run.number)
+        return link_module.unreachable(run.number)
+
+    monkeypatch.setattr(hub, "execute", note)
+    old, _ = _inbound(hub, "x")
+    run = msgspec.structs.replace(mesh.run(14), left_ms=400.0, sent_ms=0.0)
+    hub.on_message(old, run)
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    await asyncio.sleep(0.1)
+    new, sent = _inbound(hub, "x")
+    hub.on_message(new, run)
+    await asyncio.sleep(0.01)
+    hub.on_closed(new)
+    assert ran == [14]
+    assert sent[-1] == link_module.unreachable(14)
+    await fleet.until(lambda: ("x", "start", 14) not in hub.work, 1.0)
