Do not tell work as not run that was sent while it was broken off

What callers would see: 503 for an idempotent request that ran, and repeats of it that the budget does not count. Cause: cancel_orphans wrote the outcome 'not run' before it cancelled the task. The cancel takes effect one turn of the loop later at the executor's inner task; if the target's connection opened in that turn, the request was sent. Ruled out: requests that must not run twice: they were told as unknown. Change: the outcome is chosen once the task has ended, from whether it was sent.

--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -67,6 +67,7 @@
       connection: where its outcome goes.
       run: the request.
       sent: whether the target may have begun to run it.
+      orphaned: whether it was broken off because its node had not come back.
       resent_until_ms: when its node has given it up.
       task: runs it; None once it has an outcome.
       outcome: its outcome; None before.
@@ -74,6 +75,7 @@
 
     __slots__ = (
         "connection",
+        "orphaned",
         "outcome",
         "resent_until_ms",
         "run",
@@ -91,6 +93,7 @@
         self.run = run
         self.resent_until_ms = resent_until_ms
         self.sent = False
+        self.orphaned = False
         self.task: asyncio.Task | None = None
         self.outcome: peering.Outcome | None = None
 
@@ -635,8 +638,7 @@
                     asker=asker,
                     sent=work.sent,
                 )
-                if work.run.idempotent and not work.sent:
-                    work.outcome = link_module.unreachable(work.run.number)
+                work.orphaned = True
                 work.task.cancel()
 
     def on_run(
@@ -727,11 +729,16 @@
         """Sends the outcome, also of work cancelled before it began."""
         work.task = None
         if work.outcome is None:
-            work.outcome = peering.Lost(
-                number,
-                errors.ErrorKind.OUTCOME_UNKNOWN.value,
-                choice.NO_TARGET,
-            )
+            # What must not be broken off may be sent at any later moment.
+            ended_unsent = work.run.idempotent and not work.sent
+            if work.orphaned and ended_unsent:
+                work.outcome = link_module.unreachable(number)
+            else:
+                work.outcome = peering.Lost(
+                    number,
+                    errors.ErrorKind.OUTCOME_UNKNOWN.value,
+                    choice.NO_TARGET,
+                )
         work.connection.send(work.outcome)
         kept_s = (work.resent_until_ms - self.now_ms()) / 1_000
         self.loop.call_later(
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -551,3 +551,28 @@
     assert ran == [14]
     assert sent[-1] == link_module.unreachable(14)
     await fleet.until(lambda: ("x", "start", 14) not in hub.work, 1.0)
+
+
+async def test_work_that_was_sent_while_it_was_broken_off_may_have_run(
+    fleet, monkeypatch
+):
+    """The target's connection may open just when the work is cancelled."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+
+    async def send_at_last(run, note_sent):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            note_sent()
+
+    monkeypatch.setattr(hub, "execute", send_at_last)
+    old, _ = _inbound(hub, "x")
+    hub.on_message(old, mesh.run(15))
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    await asyncio.sleep(0.05)
+    new, sent = _inbound(hub, "x")
+    hub.on_message(new, mesh.run(15))
+    hub.on_closed(new)
+    assert isinstance(sent[-1], peering.Lost)
