Leave work to a node whose record is not known here

What callers would see: 502 while their target ran the request, if the connection between the nodes ended and the record of the node that had asked is not known where it runs: a fleet that starts, or a record that was removed. Cause: a node without a record counted as lost, so idempotent work at the target was broken off after 0.35 s and not left to it for 1.5 s. Absence of a record says nothing of the node. Change: only a failed attempt to connect does. Tests: test_work_of_a_node_without_a_record_waits_for_it_as_well failed 3 of 3 before.

--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -626,7 +626,7 @@
         left to it until the last look, unless it cannot be reached.
         """
         link = self.links.get(asker)
-        is_lost = link is None or link.watch.is_lost()
+        is_lost = link is not None and link.watch.is_lost()
         for work in list(self.work.values()):
             if work.connection is not connection or work.task is None:
                 continue
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -449,6 +449,11 @@
     return connection, sent
 
 
+async def _until_told(fleet, hub, number: int) -> None:
+    """Waits until the outcome of work for node x has been sent."""
+    await fleet.until(lambda: hub.work["x", "start", number].task is None)
+
+
 async def test_a_request_that_comes_late_on_an_old_connection_changes_nothing(
     fleet, monkeypatch
 ):
@@ -471,7 +476,7 @@
     await asyncio.sleep(0.01)
     hub.on_message(old, mesh.run(11))
     hub.on_closed(old)
-    await asyncio.sleep(0.15)
+    await _until_told(fleet, hub, 11)
     hub.on_closed(new)
     assert refusal in new_sent
     assert refusal not in old_sent
@@ -571,8 +576,34 @@
     hub.on_message(old, mesh.run(15))
     await asyncio.sleep(0.01)
     hub.on_closed(old)
-    await asyncio.sleep(0.05)
+    await _until_told(fleet, hub, 15)
     new, sent = _inbound(hub, "x")
     hub.on_message(new, mesh.run(15))
     hub.on_closed(new)
     assert isinstance(sent[-1], peering.Lost)
+
+
+async def test_work_of_a_node_without_a_record_waits_for_it_as_well(
+    fleet, monkeypatch
+):
+    """Its record may not be known here yet, or has been removed."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    outcome = link_module.unreachable(16)
+
+    async def run_for_a_while(run, note_sent):
+        note_sent()
+        await asyncio.sleep(0.1)
+        return outcome
+
+    monkeypatch.setattr(hub, "execute", run_for_a_while)
+    old, _ = _inbound(hub, "x")
+    hub.on_message(old, mesh.run(16))
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    await asyncio.sleep(0.05)
+    new, sent = _inbound(hub, "x")
+    hub.on_message(new, mesh.run(16))
+    await _until_told(fleet, hub, 16)
+    hub.on_closed(new)
+    assert sent[-1] == outcome
