--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 import pytest_asyncio
 
@@ -470,6 +471,11 @@
     return connection, sent
 
 
+async def _until_told(fleet, hub, number: int) -> None:
+    """Waits until the outcome of work for node x has been sent."""
+    await fleet.until(lambda: hub.work["x", "start", number].task is None)
+
+
 async def test_a_request_that_comes_late_on_an_old_connection_changes_nothing(
     fleet, monkeypatch
 ):
@@ -492,7 +498,7 @@
     await asyncio.sleep(0.01)
     hub.on_message(old, mesh.run(11))
     hub.on_closed(old)
-    await asyncio.sleep(0.15)
+    await _until_told(fleet, hub, 11)
     hub.on_closed(new)
     assert refusal in new_sent
     assert refusal not in old_sent
@@ -520,3 +526,106 @@
     hub.on_closed(new)
     assert ran == [13]
     assert hub.busy() == 0
+
+
+async def test_a_cancel_does_not_wait_for_the_next_request_to_its_node(
+    fleet, monkeypatch
+):
+    """Links between most nodes of a large fleet have no duty."""
+    asker, other = fleet.hosts[:3:2]
+    monkeypatch.setattr(asker.node.hub, "assign_duties", lambda: None)
+    other.target.behaviour.work_s = 5.0
+    link = asker.node.hub.links[other.ip]
+    await fleet.until(link.usable)
+    run = msgspec.structs.replace(mesh.run(1 << 41), left_ms=5_000.0)
+    asking = asyncio.create_task(link.run(run))
+    await fleet.until(lambda: other.target.runs)
+    link.watch.duty = False
+    link.drop_connection()
+    asking.cancel()
+    try:
+        await fleet.until(lambda: not other.node.executor.room.running, 0.5)
+    finally:
+        link.watch.duty = True
+        await fleet.until(lambda: not other.node.executor.room.running)
+    assert not link.abandoned
+
+
+async def test_a_request_sent_again_in_its_time_does_not_run_again(
+    fleet, monkeypatch
+):
+    """Its node may be cut off for longer than results are kept."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "RESULT_KEPT_S", 0.01)
+    ran = []
+
+    async def note(run, note_sent):
+        note_sent()
+        ran.append(run.number)
+        return link_module.unreachable(run.number)
+
+    monkeypatch.setattr(hub, "execute", note)
+    old, _ = _inbound(hub, "x")
+    run = msgspec.structs.replace(mesh.run(14), left_ms=400.0, sent_ms=0.0)
+    hub.on_message(old, run)
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    await asyncio.sleep(0.1)
+    new, sent = _inbound(hub, "x")
+    hub.on_message(new, run)
+    await asyncio.sleep(0.01)
+    hub.on_closed(new)
+    assert ran == [14]
+    assert sent[-1] == link_module.unreachable(14)
+    await fleet.until(lambda: ("x", "start", 14) not in hub.work, 1.0)
+
+
+async def test_work_that_was_sent_while_it_was_broken_off_may_have_run(
+    fleet, monkeypatch
+):
+    """The target's connection may open just when the work is cancelled."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+
+    async def send_at_last(run, note_sent):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            note_sent()
+
+    monkeypatch.setattr(hub, "execute", send_at_last)
+    old, _ = _inbound(hub, "x")
+    hub.on_message(old, mesh.run(15))
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    await _until_told(fleet, hub, 15)
+    new, sent = _inbound(hub, "x")
+    hub.on_message(new, mesh.run(15))
+    hub.on_closed(new)
+    assert isinstance(sent[-1], peering.Lost)
+
+
+async def test_work_of_a_node_without_a_record_waits_for_it_as_well(
+    fleet, monkeypatch
+):
+    """Its record may not be known here yet, or has been removed."""
+    hub = fleet.hosts[0].node.hub
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    outcome = link_module.unreachable(16)
+
+    async def run_for_a_while(run, note_sent):
+        note_sent()
+        await asyncio.sleep(0.1)
+        return outcome
+
+    monkeypatch.setattr(hub, "execute", run_for_a_while)
+    old, _ = _inbound(hub, "x")
+    hub.on_message(old, mesh.run(16))
+    await asyncio.sleep(0.01)
+    hub.on_closed(old)
+    await asyncio.sleep(0.05)
+    new, sent = _inbound(hub, "x")
+    hub.on_message(new, mesh.run(16))
+    await _until_told(fleet, hub, 16)
+    hub.on_closed(new)
+    assert sent[-1] == outcome
