Let the stand-in of the store be restored from an older copy

The stand-in keeps its last writes with what it takes to undo them; a restore undoes those younger than the copy, gives their revisions out again, writes again what is under op/ and servers/, and answers 410 to a watch from a revision that it does not have. Every answer names the era.

--- a/src/auburnrock_standins/mesh_store.py
+++ b/src/auburnrock_standins/mesh_store.py
@@ -1,17 +1,30 @@
 """Stand-in of the users' store: items, watches, conditional changes.
 
 Its switches bring about what the real one may do: be down, turn addresses
-away, lose answers after the change, or forget its history.
+away, lose answers after the change, or forget its history. It may also be
+restored from a copy that is some seconds old.
 """
 
 import asyncio
 import base64
+import collections
+from collections.abc import Callable
+import time
 
 from aiohttp import web
 import msgspec
 
 from auburnrock_standins import serving
 
+ERA_HEADER = "Store-Era"
+"""In every answer, errors too."""
+
+OUTSIDE_PREFIXES = ("op/", "servers/")
+"""Written by the operator and by upstreams, who write again what is lost."""
+
+WRITES_KEPT = 65_536
+"""Writes that a restore can undo."""
+
 
 class Switches(msgspec.Struct):
     """Failures to bring about.
@@ -22,6 +35,7 @@
       refused: addresses whose calls are turned away with 503.
       lose_changes: so many changes are made and not answered.
       delay_s: time that an answer takes.
+      hides_era: answers do not name the era.
     """
 
     down: bool = False
@@ -29,6 +43,29 @@
     refused: list[str] = []
     lose_changes: int = 0
     delay_s: float = 0.0
+    hides_era: bool = False
+
+
+class Write(msgspec.Struct, frozen=True):
+    """A write, with what it takes to undo it.
+
+    Attributes:
+      at_s: when it was made.
+      revision: of the store before it.
+      key: what was written.
+      value: its new value; None where it was removed.
+      before: its value and revision before; None where there was none.
+    """
+
+    at_s: float
+    revision: int
+    key: str
+    value: str | None
+    before: tuple[str, int] | None
+
+
+class TooOldError(Exception):
+    """No copy of that age is kept."""
 
 
 def answer(message: dict, status: int = 200) -> web.Response:
@@ -49,15 +86,22 @@
       forgotten: changes up to this revision are no longer kept.
       switches: failures.
       calls: calls by path.
+      era: how often it was restored; a test may let it begin later.
+      writes: the last writes, oldest first.
+      is_away: no call is answered, and waiting ones are cut.
     """
 
-    def __init__(self):
+    def __init__(self, now_s: Callable[[], float] = time.monotonic):
         self.revision = 1
         self.items: dict[str, tuple[str, int]] = {}
         self.history: list[dict] = []
         self.forgotten = 0
         self.switches = Switches()
         self.calls: dict[str, int] = {}
+        self.now_s = now_s
+        self.era = 0
+        self.writes: collections.deque[Write] = collections.deque()
+        self.is_away = False
         self.changed = asyncio.Event()
 
     def put(self, key: str, value: bytes) -> int:
@@ -77,6 +121,11 @@
 
     def apply(self, puts: list[tuple[str, str]], removes: list[str]) -> int:
         """Makes changes under one new revision."""
+        for key, value in puts:
+            self.note_write(key, value)
+        for key in removes:
+            if key in self.items:
+                self.note_write(key, None)
         self.revision += 1
         for key, value in puts:
             self.items[key] = (value, self.revision)
@@ -89,6 +138,66 @@
         self.wake()
         return self.revision
 
+    def note_write(self, key: str, value: str | None) -> None:
+        """Keeps what it takes to undo a write that is about to be made."""
+        before = self.items.get(key)
+        self.writes.append(
+            Write(self.now_s(), self.revision, key, value, before)
+        )
+        if len(self.writes) > WRITES_KEPT:
+            self.writes.popleft()
+
+    def restore(self, age_s: float) -> None:
+        """Goes back to a copy of this age, in the next era.
+
+        What the operator and the upstreams have written since is written
+        again, in its order.
+
+        Raises:
+          TooOldError: the writes since are no longer kept.
+        """
+        copied_s = self.now_s() - age_s
+        if len(self.writes) == WRITES_KEPT and self.writes[0].at_s > copied_s:
+            raise TooOldError(f"no copy is {age_s} s old")
+        undone: list[Write] = []
+        while self.writes and self.writes[-1].at_s > copied_s:
+            write = self.writes.pop()
+            undone.append(write)
+            self.revision = write.revision
+            if write.before is None:
+                self.items.pop(write.key, None)
+            else:
+                self.items[write.key] = write.before
+        self.history = [
+            event for event in self.history if event["rev"] <= self.revision
+        ]
+        self.forgotten = min(self.forgotten, self.revision)
+        self.era += 1
+        for write in reversed(undone):
+            if not write.key.startswith(OUTSIDE_PREFIXES):
+                continue
+            if write.value is None:
+                self.apply([], [write.key])
+            else:
+                self.apply([(write.key, write.value)], [])
+        self.wake()
+
+    async def drill(self, age_s: float, away_s: float) -> None:
+        """Is away for a while and comes back restored."""
+        self.is_away = True
+        self.wake()
+        await asyncio.sleep(away_s)
+        self.restore(age_s)
+        self.is_away = False
+
+    async def stamp(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Names the era in an answer."""
+        del request
+        if not self.switches.hides_era:
+            response.headers[ERA_HEADER] = str(self.era)
+
     def wake(self) -> None:
         """Tells the watches that something has happened."""
         self.changed.set()
@@ -112,10 +221,18 @@
             await asyncio.sleep(60)
         if self.switches.delay_s:
             await asyncio.sleep(self.switches.delay_s)
+        if self.is_away:
+            return self.cut(request)
         if self.switches.busy or request.remote in self.switches.refused:
             return web.Response(status=503)
         return None
 
+    def cut(self, request: web.Request) -> web.Response:
+        """Ends a call's connection without an answer."""
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=503)
+
     async def key(self, request: web.Request) -> web.Response:
         """Answers kv-key."""
         refusal = await self.admit(request)
@@ -152,10 +269,13 @@
             return refusal
         prefix = request.query["path_prefix"]
         after = int(request.query["after"])
+        era = self.era
         loop = asyncio.get_running_loop()
         end = loop.time() + int(request.query["wait_ms"]) / 1_000
         while True:
-            if after < self.forgotten:
+            if self.is_away or self.era != era:
+                return self.cut(request)
+            if after < self.forgotten or after > self.revision:
                 return web.Response(status=410)
             changed = self.changed
             events = [
@@ -208,6 +328,7 @@
     def application(self) -> web.Application:
         """The server's routes."""
         application = web.Application()
+        application.on_response_prepare.append(self.stamp)
         application.add_routes(
             [
                 web.get("/auburnrock/kv-key", self.key),
