Show what a restore of the store breaks, as known red

The oracle of test_mesh_ownership moves to tests/common without a change of what it checks: its faults are those of two lists now.

--- /dev/null
+++ b/tests/common/mesh_restores.py
@@ -0,0 +1,141 @@
+"""Builders for tests of a store that is restored from an older copy."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.platform import store as platform_store
+from auburnrock.shells import clock as clocks
+from auburnrock.shells.mesh import event_log
+from auburnrock.shells.mesh import sync as sync_module
+from auburnrock_standins import mesh_store
+from auburnrock_standins import serving
+
+PREFIX = "auburnrock/"
+RECORD = "auburnrock/m/a"
+OTHER_RECORD = "auburnrock/m/b"
+TABLE = "auburnrock/k/portal"
+
+LOG = event_log.event_log("test")
+
+
+class Clock:
+    """A clock that stands still until it is moved."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def read(self) -> float:
+        """The time."""
+        return self.now_s
+
+
+class Restored:
+    """A stand-in of the store and a copy of it.
+
+    Attributes:
+      store: the stand-in; its clock stands still.
+      clock: that clock.
+      address: where it serves.
+    """
+
+    def __init__(self):
+        self.clock = Clock()
+        self.store = mesh_store.MeshStore(self.clock.read)
+        # The first revisions of all eras are copied.
+        self.store.put("op/config", b"7")
+        self.address = ""
+        self.clients: list[platform_store.Store] = []
+        self.syncs: list[sync_module.Sync] = []
+
+    def copy(self) -> None:
+        """What is written from here on is lost in the next restore."""
+        self.clock.now_s += 10.0
+
+    def restore(self) -> None:
+        """Goes back to the last copy."""
+        self.store.restore(5.0)
+
+    def client(self) -> platform_store.Store:
+        """A client of the store."""
+        made = platform_store.Store(self.address, clocks.exact_ms)
+        self.clients.append(made)
+        return made
+
+    def follower(self, wait_ms: int = 50) -> "Follower":
+        """A node's view of the store; it is not started."""
+        return Follower(self, wait_ms)
+
+
+class Follower:
+    """A node's view of the store, and what it has told.
+
+    Attributes:
+      sync: follows the store as a reader.
+      values: what the node takes for the store's items.
+      told: what it has passed on to neighbours.
+    """
+
+    def __init__(self, restored: Restored, wait_ms: int):
+        self.values: dict[str, bytes] = {}
+        self.told: list[coordination.Item] = []
+        self.sync = sync_module.Sync(
+            restored.client(),
+            PREFIX,
+            wait_ms,
+            0.0,
+            LOG,
+            clocks.exact_ms,
+            self.take,
+            lambda: True,
+            self.told.extend,
+        )
+        # Else it waits to learn who the readers are.
+        self.sync.began = True
+        restored.syncs.append(self.sync)
+
+    def take(self, items: list[coordination.Item], revision: int) -> None:
+        """Takes items as a node does."""
+        del revision
+        for item in items:
+            if item.value is None:
+                self.values.pop(item.key, None)
+            else:
+                self.values[item.key] = item.value
+
+    async def call(self) -> None:
+        """Makes the next call of the store, as the task of a node does."""
+        try:
+            await self.sync.next_call()
+        except coordination.HistoryLostError:
+            self.sync.must_list = True
+
+    async def calls(self, count: int) -> None:
+        """Makes a few calls, one after another."""
+        for _ in range(count):
+            await self.call()
+
+
+@contextlib.asynccontextmanager
+async def serve():
+    """A stand-in of the store that serves on loopback."""
+    made = Restored()
+    runner = await serving.start(made.store.application(), "127.0.0.1", 0)
+    host, port = runner.addresses[0][:2]
+    made.address = f"{host}:{port}"
+    yield made
+    for client in made.clients:
+        client.close()
+    await runner.cleanup()
+
+
+async def until(condition: Callable[[], bool], limit_s: float) -> bool:
+    """Whether a condition holds before a limit."""
+    try:
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+    except TimeoutError:
+        return False
+    return True
--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -8,45 +8,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
 from tests.common import mesh_fleet
-
-STRIPE_KEYS = 7
-"""Every stripe of three targets has a key at each such distance."""
-
-
-class Oracle:
-    """Watches every grant that targets accept.
-
-    Attributes:
-      faults: keys that two targets held, or fences that did not rise.
-    """
-
-    def __init__(self):
-        self.faults: list[str] = []
-        self.fences: dict[int, tuple[int, str]] = {}
-        self.targets: list = []
-
-    def watch(self, target) -> None:
-        """Checks a target's rows from now on."""
-        self.targets.append(target)
-        target.on_hold = lambda hold: self.check(target, hold)
-
-    def check(self, target, hold) -> None:
-        """Checks one accepted row."""
-        grid = -(-hold.first // STRIPE_KEYS) * STRIPE_KEYS
-        for key in range(grid, hold.last + 1, STRIPE_KEYS):
-            fence, owner = self.fences.get(key, (0, ""))
-            if owner != target.name and hold.fence <= fence:
-                self.faults.append(
-                    f"{target.name} got {key} at {hold.fence}, not above"
-                    f" {fence} of {owner}"
-                )
-            self.fences[key] = (hold.fence, target.name)
-        for other in self.targets:
-            if other is not target and other.holds_any(hold.first, hold.last):
-                self.faults.append(
-                    f"{target.name} and {other.name} hold some of"
-                    f" {hold.first} to {hold.last}"
-                )
+from tests.common import mesh_grants
 
 
 @pytest_asyncio.fixture
@@ -59,7 +21,7 @@
 
 @pytest_asyncio.fixture
 async def oracle(fleet):
-    made = Oracle()
+    made = mesh_grants.Oracle()
     for host in fleet.hosts:
         made.watch(host.target)
     yield made
--- /dev/null
+++ b/tests/cover/test_mesh_restore.py
@@ -0,0 +1,316 @@
+"""A store that is restored from an older copy, in the next era."""
+
+import asyncio
+
+import pytest_asyncio
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
+from auburnrock.shells.mesh import relay
+from tests.common import mesh_fleet
+from tests.common import mesh_grants
+from tests.common import mesh_restores
+
+RECORD = mesh_restores.RECORD
+OTHER_RECORD = mesh_restores.OTHER_RECORD
+TABLE = mesh_restores.TABLE
+
+
+@pytest_asyncio.fixture
+async def restored():
+    async with mesh_restores.serve() as made:
+        yield made
+
+
+class Hub:
+    """The other nodes; there are none."""
+
+    on_change_asked = None
+
+
+def helper(client):
+    return relay.RelayedStore(client, Hub(), mesh_restores.LOG, lambda: 0.0)
+
+
+async def outcome(changing):
+    """What became of a change, as its maker is told."""
+    try:
+        return await changing
+    except coordination.StoreError as error:
+        return error
+
+
+# What a node takes for the state of the store.
+
+
+async def test_what_the_store_no_longer_says_is_forgotten(restored):
+    restored.copy()
+    restored.store.put(RECORD, b"since")
+    follower = restored.follower()
+    await follower.call()
+    assert follower.values == {RECORD: b"since"}
+    restored.restore()
+    await follower.calls(3)
+    assert follower.values == {}
+
+
+async def test_an_item_is_what_the_restored_store_says_it_is(restored):
+    restored.store.put(TABLE, b"copied")
+    restored.copy()
+    restored.store.put(TABLE, b"since")
+    follower = restored.follower()
+    await follower.call()
+    restored.restore()
+    await follower.calls(3)
+    assert follower.values == {TABLE: b"copied"}
+
+
+async def test_a_removed_record_is_seen_when_it_is_back(restored):
+    restored.store.put(RECORD, b"copied")
+    restored.copy()
+    follower = restored.follower()
+    await follower.call()
+    restored.store.apply([], [RECORD])
+    await follower.call()
+    assert follower.values == {}
+    restored.restore()
+    await follower.calls(3)
+    assert follower.values == {RECORD: b"copied"}
+
+
+async def test_changes_below_the_revision_of_a_watch_are_not_missed(restored):
+    """The store had given out the revision again, so it answered no 410."""
+    restored.copy()
+    for _ in range(3):
+        restored.store.put(RECORD, b"since")
+    follower = restored.follower()
+    await follower.call()
+    restored.restore()
+    restored.store.put(RECORD, b"new")
+    for _ in range(4):
+        restored.store.put(OTHER_RECORD, b"new")
+    await follower.calls(3)
+    assert follower.values == {RECORD: b"new", OTHER_RECORD: b"new"}
+
+
+async def test_what_a_neighbour_saw_in_the_older_era_is_no_news(restored):
+    restored.copy()
+    neighbour = restored.follower()
+    await neighbour.call()
+    restored.store.put(RECORD, b"since")
+    await neighbour.call()
+    restored.restore()
+    follower = restored.follower()
+    await follower.call()
+    follower.sync.take_told(neighbour.told)
+    assert follower.values == {}
+
+
+async def test_news_of_the_later_era_are_taken_though_revisions_went_back(
+    restored,
+):
+    restored.copy()
+    for _ in range(3):
+        restored.store.put(RECORD, b"since")
+    late = restored.follower()
+    await late.call()
+    restored.restore()
+    neighbour = restored.follower()
+    await neighbour.call()
+    restored.store.put(RECORD, b"new")
+    await neighbour.call()
+    late.sync.take_told(neighbour.told)
+    assert late.values == {RECORD: b"new"}
+
+
+# Changes.
+
+
+async def lost_change(restored, client):
+    """A record that is written, lost, and written by another node.
+
+    Returns:
+      The revision that the first writer was told.
+    """
+    restored.copy()
+    revision = await client.change({RECORD: 0}, {RECORD: b"since"}, [])
+    restored.restore()
+    other = restored.client()
+    again = await other.change({RECORD: 0}, {RECORD: b"other"}, [])
+    assert restored.store.items[RECORD][1] == 3
+    assert isinstance(again, int)
+    return revision
+
+
+async def test_a_change_is_not_made_on_a_revision_that_was_given_out_again(
+    restored,
+):
+    client = restored.client()
+    revision = await lost_change(restored, client)
+    # The store has said meanwhile that it was restored.
+    await client.read("op/config")
+    made = await outcome(client.change({RECORD: revision}, {RECORD: b"x"}, []))
+    assert not isinstance(made, int)
+    assert restored.store.value(RECORD) == b"other"
+
+
+async def test_a_change_is_not_made_before_its_maker_hears_of_the_restore(
+    restored,
+):
+    client = restored.client()
+    revision = await lost_change(restored, client)
+    await outcome(client.change({RECORD: revision}, {RECORD: b"x"}, []))
+    assert restored.store.value(RECORD) == b"other"
+
+
+async def test_a_relayed_change_of_the_older_era_is_not_made(restored):
+    """The helper knows of the restore; the node that decided does not."""
+    client = restored.client()
+    revision = await lost_change(restored, client)
+    helping = restored.client()
+    await helping.read("op/config")
+    asked = peering.ChangeAsked(1, {RECORD: revision}, {RECORD: b"x"}, [])
+    answer = await helper(helping).answer(asked)
+    assert answer.failure
+    assert restored.store.value(RECORD) == b"other"
+
+
+# Whole nodes.
+
+
+@pytest_asyncio.fixture
+async def fleet():
+    made = mesh_fleet.Fleet()
+    await made.start("portal", "portal", "portal", "booker")
+    made.clock = mesh_restores.Clock()
+    made.store.writes.clear()
+    made.store.now_s = made.clock.read
+    yield made
+    await made.stop()
+
+
+def copy_of(fleet):
+    """What is written from here on is lost in the next restore."""
+    fleet.clock.now_s += 10.0
+
+
+def all_held(fleet):
+    """Whether targets hold all keys."""
+    targets = [host.target for host in fleet.hosts if host.target]
+    return sum(target.keys() for target in targets) == model.KEYS
+
+
+async def move_lost(fleet):
+    """A target's keys are moved, and the store loses the move.
+
+    The target ends and starts again, its node does too and reads the store.
+    """
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and host.node.ownership.record.record.witnesses
+            for host in fleet.hosts[:3]
+        )
+    )
+    copy_of(fleet)
+    moved = fleet.hosts[0]
+    moved.target.state = "draining"
+    await fleet.until(lambda: not moved.target.holds and all_held(fleet), 5.0)
+    await moved.kill_node()
+    await moved.target.crash()
+    fleet.store.restore(5.0)
+    await moved.start_node()
+    oracle.watch(await moved.start_target())
+    await mesh_restores.until(lambda: oracle.faults, 5.0)
+    return oracle
+
+
+async def test_a_move_that_the_store_lost_leaves_one_owner(fleet):
+    oracle = await move_lost(fleet)
+    assert oracle.shared == []
+
+
+async def test_a_token_that_the_store_lost_is_not_given_out_again(fleet):
+    oracle = await move_lost(fleet)
+    assert oracle.reused == []
+
+
+async def test_a_takeover_that_the_store_lost_leaves_one_owner(fleet):
+    """The dead node's record is whole again, and its keys were moved."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and host.node.ownership.record.record.witnesses
+            for host in fleet.hosts[:3]
+        )
+    )
+    copy_of(fleet)
+    dead = fleet.hosts[0]
+    await dead.kill_node()
+    await dead.target.crash()
+    dead.target = None
+    await fleet.until(lambda: all_held(fleet), 12.0)
+    fleet.store.restore(5.0)
+    # All who remember the seal start again, and so does the node.
+    for host in fleet.hosts[1:]:
+        await host.kill_node()
+    for host in fleet.hosts:
+        await host.start_node()
+    oracle.watch(await dead.start_target())
+    await mesh_restores.until(lambda: oracle.faults, 5.0)
+    assert oracle.faults == []
+
+
+async def test_a_node_taken_for_dead_serves_again_after_the_restore(fleet):
+    """It found its record whole; its witnesses had sealed a later revision,
+    and renewed it never again."""
+    copy_of(fleet)
+    dead = fleet.hosts[0]
+    await fleet.until(lambda: dead.node.ownership.record.record.witnesses)
+    copy_of(fleet)
+    await dead.kill_node()
+    await dead.target.crash()
+    dead.target = None
+    await fleet.until(lambda: all_held(fleet), 12.0)
+    fleet.store.restore(5.0)
+    await dead.start_node()
+    await dead.start_target()
+    assert await mesh_restores.until(
+        lambda: dead.node.ownership.grants_until_ms() > dead.node.now_ms(), 8.0
+    )
+
+
+async def test_a_node_that_registered_since_the_copy_registers_again(fleet):
+    copy_of(fleet)
+    late = mesh_fleet.Host(fleet, 5, "portal")
+    fleet.hosts.append(late)
+    await late.start_node()
+    await late.start_target()
+    key = f"auburnrock/m/{late.ip}"
+    await fleet.until(lambda: late.node.ownership.record.revision)
+    fleet.store.restore(5.0)
+    assert fleet.store.value(key) is None
+    assert await mesh_restores.until(
+        lambda: fleet.store.value(key) is not None, 5.0
+    )
+
+
+async def test_a_configuration_in_force_does_not_go_back(fleet):
+    """The copy's is older; the operator's is written again a moment later."""
+    copy_of(fleet)
+    fleet.configure(version=9)
+    nodes = [host.node for host in fleet.hosts]
+    await fleet.until(
+        lambda: {node.configuration_version() for node in nodes} == {9}
+    )
+    fleet.store.restore(5.0)
+    for _ in range(10):
+        await asyncio.sleep(0.05)
+        assert {node.configuration_version() for node in nodes} == {9}
