Let a revision of the store carry its era

Change: the client reads Store-Era, and a revision is the era and the number as one integer that orders as the pair does (the number alone where no era is named), so all that compares, keeps or sends revisions tells eras apart.

Not closed: a change that is sent before its maker hears of the restore.

--- a/src/auburnrock/engine/mesh/coordination.py
+++ b/src/auburnrock/engine/mesh/coordination.py
@@ -1,9 +1,38 @@
-"""What a node needs of the store that the platform runs."""
+"""What a node needs of the store that the platform runs.
+
+The store may be restored from an older copy. It begins another era then, and
+gives the numbers of lost revisions out again. So a revision here is an era and
+the store's number in it, as one integer that orders as the pair does: all that
+compares revisions, keeps them or sends them to peers tells eras apart.
+"""
 
 import abc
+from collections.abc import Callable
 
 import msgspec
 
+NUMBER_BITS = 40
+"""Room for the store's number of a revision, below the era: the store may make
+a thousand changes a second for 34 years."""
+
+ERA_MAX = (1 << 63 - NUMBER_BITS) - 1
+"""A revision fits a signed integer of 64 bits, as MessagePack has it."""
+
+
+def revision_of(era: int, number: int) -> int:
+    """The revision with this number in this era."""
+    return era << NUMBER_BITS | number
+
+
+def era_of(revision: int) -> int:
+    """The era of a revision."""
+    return revision >> NUMBER_BITS
+
+
+def number_of(revision: int) -> int:
+    """The store's number of a revision in its era."""
+    return revision & (1 << NUMBER_BITS) - 1
+
 
 class Item(msgspec.Struct, frozen=True):
     """A key's value.
@@ -49,6 +78,10 @@
     """The changes that a watch asked for are no longer kept."""
 
 
+class EraPassedError(StoreUnavailableError):
+    """A change was not sent: it was decided on an era that has passed."""
+
+
 class Conflict(msgspec.Struct, frozen=True):
     """A condition of a change did not hold.
 
@@ -66,9 +99,13 @@
 
     Attributes:
       answered_ms: when it last answered a call; 0 before.
+      era: the latest era that an answer has named; 0 before.
+      on_era: takes the era whenever it rises.
     """
 
     answered_ms: float
+    era: int
+    on_era: Callable[[int], None]
 
     def has_helper(self) -> bool:
         """Whether changes can be made by way of another node."""
@@ -104,6 +141,10 @@
     ) -> int | Conflict:
         """Makes all changes if every key has the revision expected of it.
 
+        The revisions say in which era the change was decided. It is not sent
+        once another is known; one that is made in another all the same raises
+        StoreUnknownError.
+
         Args:
           expected: revision by key; 0 stands for a key that does not exist.
           puts: new value by key.
@@ -111,6 +152,9 @@
 
         Returns:
           The revision of the change, or the conflict that prevented it.
+
+        Raises:
+          EraPassedError: decide again on what the store says now.
         """
 
     @abc.abstractmethod
--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -293,7 +293,8 @@
 
     Attributes:
       number: identifies the question at its sender.
-      expected: revision by key; 0 stands for a key that does not exist.
+      expected: revision by key, which says the era that the change was decided
+        in; 0 stands for a key that does not exist.
       puts: new value by key.
       removes: keys to remove.
     """
--- a/src/auburnrock/platform/names.py
+++ b/src/auburnrock/platform/names.py
@@ -16,6 +16,8 @@
 SIGNATURE = b"auburnrock-response-seal"
 # The target did not run the request.
 NOT_RUN = b"auburnrock-not-executed"
+# Counts how often the store was restored; in all its answers.
+ERA = b"store-era"
 
 READINESS_PATH = b"/auburnrock/readiness"
 TARGETS_PATH = b"/auburnrock/instances/"
--- a/src/auburnrock/platform/store.py
+++ b/src/auburnrock/platform/store.py
@@ -9,6 +9,7 @@
 
 from auburnrock.engine.mesh import coordination
 from auburnrock.platform import forms
+from auburnrock.platform import names
 from auburnrock.shells.mesh import http_client
 
 CALL_TIMEOUT_S = 1.2
@@ -20,6 +21,9 @@
 CHANGE_MAX = 32
 """Entries that one change may have."""
 
+ERA_DIGITS = 18
+"""Longest era that is read; a longer one is nonsense."""
+
 
 class _Item(msgspec.Struct):
     key: str
@@ -83,6 +87,8 @@
         self.now_ms = now_ms
         self.calls = 0
         self.answered_ms = 0.0
+        self.era = 0
+        self.on_era: Callable[[int], None] = lambda era: None
 
     async def read(self, key: str) -> coordination.Item | None:
         """Reads one key."""
@@ -90,7 +96,7 @@
         answer = await self._ask(f"/auburnrock/kv-key?{query}")
         if answer.status == 404:
             return None
-        return _item(self._decode(_Read, answer, 200))
+        return _item(self._decode(_Read, answer, 200), self.era)
 
     async def list_all(
         self, prefix: str, stale: bool = False
@@ -99,6 +105,7 @@
         items: list[coordination.Item] = []
         revision = 0
         after = ""
+        era = None
         while True:
             query = {"path_prefix": prefix}
             if stale:
@@ -108,10 +115,17 @@
             text = urllib.parse.urlencode(query)
             answer = await self._ask(f"/auburnrock/kv-range?{text}")
             page = self._decode(_Range, answer, 200)
-            items += map(_item, page.items)
+            if era is not None and era != self.era:
+                raise coordination.StoreUnavailableError(
+                    f"restored between two pages, in era {self.era}"
+                )
+            era = self.era
+            items += [_item(item, era) for item in page.items]
             # Pages are no snapshot: what changed after the first page is
             # seen again by a watch that begins at its revision.
-            revision = revision or page.store_revision
+            revision = revision or coordination.revision_of(
+                era, page.store_revision
+            )
             if not page.more_pages or not page.items:
                 return coordination.Listing(items, revision)
             after = page.items[-1].key
@@ -120,17 +134,25 @@
         self, prefix: str, after: int, wait_ms: int
     ) -> coordination.Changes:
         """Waits for changes; a dropped history raises HistoryLostError."""
+        era = coordination.era_of(after)
+        if era != self.era:
+            raise coordination.HistoryLostError(f"of era {era}")
         query = urllib.parse.urlencode(
-            {"path_prefix": prefix, "after": after, "wait_ms": wait_ms}
+            {
+                "path_prefix": prefix,
+                "after": coordination.number_of(after),
+                "wait_ms": wait_ms,
+            }
         )
         answer = await self._ask(
             f"/auburnrock/kv-watch?{query}", wait_ms / 1_000 + WATCH_MARGIN_S
         )
-        if answer.status == 410:
+        if answer.status == 410 or era != self.era:
             raise coordination.HistoryLostError("the history is gone")
         changes = self._decode(_Watch, answer, 200)
         return coordination.Changes(
-            [_item(item) for item in changes.events], changes.store_revision
+            [_item(item, era) for item in changes.events],
+            coordination.revision_of(era, changes.store_revision),
         )
 
     async def change(
@@ -140,8 +162,17 @@
         removes: list[str],
     ) -> int | coordination.Conflict:
         """Makes one conditional transaction."""
+        # Absence has no revision; it says the same in any era.
+        eras = {coordination.era_of(rev) for rev in expected.values() if rev}
+        if eras and min(eras) < self.era:
+            raise coordination.EraPassedError(
+                f"decided in era {min(eras)}, now {self.era}"
+            )
         message = _Change(
-            [_Expected(key, revision) for key, revision in expected.items()],
+            [
+                _Expected(key, coordination.number_of(revision))
+                for key, revision in expected.items()
+            ],
             [
                 _Put(key, base64.b64encode(value).decode())
                 for key, value in puts.items()
@@ -153,8 +184,15 @@
         )
         if answer.status == 412:
             conflict = self._decode(_Conflict, answer, 412)
-            return coordination.Conflict([_item(i) for i in conflict.items])
-        return self._decode(_Changed, answer, 200).rev
+            return coordination.Conflict(
+                [_item(item, self.era) for item in conflict.items]
+            )
+        number = self._decode(_Changed, answer, 200).rev
+        if eras and eras != {self.era}:
+            raise coordination.StoreUnknownError(
+                f"decided in era {min(eras)}, made in {self.era}"
+            )
+        return coordination.revision_of(self.era, number)
 
     def close(self) -> None:
         """Ends the idle connections."""
@@ -190,6 +228,7 @@
             connection.abort()
             raise
         self.client.give_back(connection)
+        self._take_era(answer)
         if answer.status in (429, 503, 403, 400):
             text = answer.body[:200].decode(errors="replace")
             raise coordination.StoreUnavailableError(
@@ -198,6 +237,25 @@
         self.answered_ms = self.now_ms()
         return answer
 
+    def _take_era(self, answer: http_client.Answer) -> None:
+        """Notes the era of an answer, which is the latest from here on.
+
+        Raises:
+          StoreUnknownError: the answer is of an earlier one, or names none.
+        """
+        text = answer.header(names.ERA)
+        if text is None:
+            return
+        is_number = text.isdigit() and len(text) <= ERA_DIGITS
+        era = int(text) if is_number else -1
+        if not self.era <= era <= coordination.ERA_MAX:
+            raise coordination.StoreUnknownError(
+                f"answer of era {text!r}, known is {self.era}"
+            )
+        if era > self.era:
+            self.era = era
+            self.on_era(era)
+
     def _decode(
         self, kind: type, answer: http_client.Answer, status: int
     ) -> object:
@@ -209,7 +267,8 @@
             raise coordination.StoreUnknownError(str(error)) from error
 
 
-def _item(wire: _Item | _Read) -> coordination.Item:
+def _item(wire: _Item | _Read, era: int) -> coordination.Item:
+    revision = coordination.revision_of(era, wire.rev)
     if wire.value is None:
-        return coordination.Item(wire.key, None, wire.rev)
-    return coordination.Item(wire.key, base64.b64decode(wire.value), wire.rev)
+        return coordination.Item(wire.key, None, revision)
+    return coordination.Item(wire.key, base64.b64decode(wire.value), revision)
--- a/src/auburnrock/shells/mesh/relay.py
+++ b/src/auburnrock/shells/mesh/relay.py
@@ -4,7 +4,8 @@
 while it serves the others. Such a node may be in the middle of a move: its
 target has let go of keys, and nobody has them until the table says whose they
 are. A change is conditional on revisions, so it does not matter who sends it,
-or that it is sent twice: it takes effect once at most.
+or that it is sent twice: it takes effect once at most. The revisions carry
+their era, and a helper that knows of a later one does not send the change.
 """
 
 from collections.abc import Callable
@@ -49,6 +50,11 @@
         """When the store last answered a call of this node."""
         return self.own.answered_ms
 
+    @property
+    def era(self) -> int:
+        """The latest era that the store has named to this node."""
+        return self.own.era
+
     def has_helper(self) -> bool:
         """Whether a node in touch reaches the store."""
         return bool(self._helpers())
@@ -78,6 +84,8 @@
         """Makes a conditional change, by way of another node if need be."""
         try:
             return await self.own.change(expected, puts, removes)
+        except coordination.EraPassedError:
+            raise
         except coordination.StoreError as error:
             return await self._relay(error, expected, puts, removes)
 
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 import pytest_asyncio
 
 from auburnrock.engine.mesh import coordination
@@ -176,6 +177,92 @@
     assert restored.store.value(RECORD) == b"other"
 
 
+async def test_a_change_that_was_made_in_another_era_is_no_success(restored):
+    """Its maker cannot have heard of the restore; the answer names the era."""
+    client = restored.client()
+    restored.store.put(RECORD, b"copied")
+    revision = (await client.read(RECORD)).revision
+    restored.copy()
+    restored.restore()
+    made = await outcome(client.change({RECORD: revision}, {RECORD: b"x"}, []))
+    assert isinstance(made, coordination.StoreUnknownError)
+
+
+async def test_no_change_is_decided_on_two_eras(restored):
+    client = restored.client()
+    restored.store.put(RECORD, b"copied")
+    before = (await client.read(RECORD)).revision
+    restored.copy()
+    restored.restore()
+    after = (await client.read(RECORD)).revision
+    made = await outcome(
+        client.change({RECORD: after, TABLE: before}, {RECORD: b"x"}, [])
+    )
+    assert isinstance(made, coordination.EraPassedError)
+
+
+# The era in the store's answers.
+
+
+async def test_revisions_order_by_their_era_first(restored):
+    client = restored.client()
+    restored.store.put(RECORD, b"copied")
+    restored.copy()
+    for _ in range(5):
+        restored.store.put(RECORD, b"since")
+    before = (await client.read(RECORD)).revision
+    restored.restore()
+    after = (await client.read(RECORD)).revision
+    assert after > before
+    assert coordination.era_of(after) == coordination.era_of(before) + 1
+    assert coordination.number_of(after) == restored.store.items[RECORD][1]
+
+
+async def test_without_an_era_revisions_are_the_stores_numbers(restored):
+    restored.store.era = 3
+    restored.store.switches.hides_era = True
+    client = restored.client()
+    restored.store.put(RECORD, b"x")
+    number = restored.store.items[RECORD][1]
+    assert (await client.read(RECORD)).revision == number
+    listing = await client.list_all("auburnrock/")
+    assert listing.revision == number
+    assert await client.change({RECORD: number}, {}, [RECORD]) == number + 1
+
+
+async def test_an_answer_of_an_older_era_is_not_taken(restored):
+    client = restored.client()
+    restored.store.era = 3
+    await client.read("op/config")
+    restored.store.era = 2
+    with pytest.raises(coordination.StoreUnavailableError):
+        await client.list_all("auburnrock/")
+    assert client.era == 3
+
+
+async def test_an_era_that_is_no_number_is_not_taken(restored):
+    restored.store.era = "x"
+    with pytest.raises(coordination.StoreUnavailableError):
+        await restored.client().list_all("auburnrock/")
+
+
+async def test_a_listing_is_of_one_era(restored):
+    for name in "abcd":
+        restored.store.put(f"auburnrock/m/{name}", b"x")
+    restored.copy()
+    client = restored.client()
+    ask = client._ask
+
+    async def restore_first(path, *options):
+        if "after=" in path:
+            restored.restore()
+        return await ask(path, *options)
+
+    client._ask = restore_first
+    with pytest.raises(coordination.StoreUnavailableError):
+        await client.list_all("auburnrock/")
+
+
 # Whole nodes.
 
 
