Forget what only an older era of the store said

Cause: a view of the store took a lost record that a neighbour told late, and nothing made a node list again when only others had heard of the restore. Change: Sync has an era, drops items of older ones, and lists again when a later one is known; an old copy of a later era is not taken, as it may lack what was written again. A node learns the era from any answer, from items told, and from the versions in pings, and logs store_era once.

--- a/src/auburnrock/engine/mesh/coordination.py
+++ b/src/auburnrock/engine/mesh/coordination.py
@@ -99,7 +99,7 @@
 
     Attributes:
       answered_ms: when it last answered a call; 0 before.
-      era: the latest era that an answer has named; 0 before.
+      era: the latest era that an answer or a peer has named; 0 before.
       on_era: takes the era whenever it rises.
     """
 
@@ -111,6 +111,10 @@
         """Whether changes can be made by way of another node."""
         return False
 
+    @abc.abstractmethod
+    def note_era(self, era: int) -> None:
+        """Takes the era that a peer has named, if it is a later one."""
+
     @abc.abstractmethod
     async def read(self, key: str) -> Item | None:
         """Reads one key; None if it does not exist."""
--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -24,10 +24,12 @@
     Attributes:
       configuration: version in force there; 0 before it knows one.
       tables: version of each key table by service.
+      era: the store's latest era known there.
     """
 
     configuration: int
     tables: dict[str, int]
+    era: int = 0
 
 
 class Hello(Message, tag=0):
--- a/src/auburnrock/platform/store.py
+++ b/src/auburnrock/platform/store.py
@@ -237,6 +237,12 @@
         self.answered_ms = self.now_ms()
         return answer
 
+    def note_era(self, era: int) -> None:
+        """Takes the era that an answer, or a peer, has named."""
+        if era > self.era:
+            self.era = era
+            self.on_era(era)
+
     def _take_era(self, answer: http_client.Answer) -> None:
         """Notes the era of an answer, which is the latest from here on.
 
@@ -252,9 +258,7 @@
             raise coordination.StoreUnknownError(
                 f"answer of era {text!r}, known is {self.era}"
             )
-        if era > self.era:
-            self.era = era
-            self.on_era(era)
+        self.note_era(era)
 
     def _decode(
         self, kind: type, answer: http_client.Answer, status: int
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -195,6 +195,8 @@
     def _connect_parts(self) -> None:
         self.telling.own_sync = self.own_sync
         self.telling.configuration_sync = self.configuration_sync
+        self.telling.store = self.store
+        self.store.on_era = self.on_era
         self.telling.configuration_version = self.configuration_version
         self.telling.is_uninformed = self.is_uninformed
         self.hub.execute = self.executor.run
@@ -432,6 +434,14 @@
         configuration = self.dispatcher.configuration
         return configuration.version if configuration else 0
 
+    def on_era(self, era: int) -> None:
+        """The store was restored, or has named its era for the first time."""
+        before = max(self.own_sync.era, self.configuration_sync.era)
+        if self.has_read():
+            self.log.write("store_era", before=before, after=era)
+        self.own_sync.begin_era(era)
+        self.configuration_sync.begin_era(era)
+
     def on_operator_items(
         self, items: list[coordination.Item], revision: int
     ) -> None:
--- a/src/auburnrock/shells/mesh/relay.py
+++ b/src/auburnrock/shells/mesh/relay.py
@@ -55,6 +55,10 @@
         """The latest era that the store has named to this node."""
         return self.own.era
 
+    def note_era(self, era: int) -> None:
+        """Takes the era that a peer has named."""
+        self.own.note_era(era)
+
     def has_helper(self) -> bool:
         """Whether a node in touch reaches the store."""
         return bool(self._helpers())
--- a/src/auburnrock/shells/mesh/sync.py
+++ b/src/auburnrock/shells/mesh/sync.py
@@ -4,6 +4,10 @@
 watch by every node would cost a call for each node and change. The others
 list a copy now and then that may be seconds old, and list anew when a peer
 knows of something later.
+
+A store that is restored from an older copy begins an era. What is known of an
+older one is no longer believed: all is listed again, and what the listing does
+not show is taken for removed.
 """
 
 import asyncio
@@ -46,6 +50,7 @@
     Attributes:
       prefix: which items.
       revision: the view shows every change up to this one; 0 before a listing.
+      era: the store's latest era known; items of older ones are not taken.
       known: revision of each key.
       removed: revision of the removal of keys that are gone.
       fresh_ms: when the store answered last.
@@ -75,6 +80,7 @@
         self.began = False
         self.was_reader = True
         self.revision = 0
+        self.era = 0
         self.known: dict[str, int] = {}
         self.removed: dict[str, int] = {}
         self.fresh_ms = 0.0
@@ -100,6 +106,15 @@
         if self.waiting is not None and not self.listing:
             self.waiting.cancel()
 
+    def begin_era(self, era: int) -> None:
+        """The store was restored: reads what it says now."""
+        if era <= self.era:
+            return
+        self.era = era
+        # A listing that is under way is of this era, or fails.
+        if not self.listing:
+            self.list_again()
+
     async def follow(self) -> None:
         """Lists, then watches, for ever."""
         while True:
@@ -152,7 +167,11 @@
             if self.is_reader():
                 return
         listing = await self.store.list_all(self.prefix, stale=True)
-        self.take_listing(listing)
+        if coordination.era_of(listing.revision) != self.era:
+            self.must_list = True
+        if not self.must_list:
+            # An old copy of a new era may lack what was written again since.
+            self.take_listing(listing)
 
     async def list_all(self) -> None:
         """Reads all items."""
@@ -165,6 +184,7 @@
             raise
         finally:
             self.listing = False
+        self.era = max(self.era, coordination.era_of(listing.revision))
         self.revision = max(self.revision, listing.revision)
         self.take_listing(listing)
 
@@ -192,6 +212,8 @@
         """Takes items as read; older ones than known are left out."""
         news = []
         for item in items:
+            if coordination.era_of(item.revision) < self.era:
+                continue
             if item.revision < self.known.get(item.key, 0):
                 continue
             if item.revision < self.removed.get(item.key, 0):
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -61,6 +61,7 @@
       own_sync: follows the nodes' own items.
       configuration_sync: follows the operator's items.
       configuration_version: says which configuration is in force here.
+      store: the store; names its era.
       is_uninformed: says whether this process knows less than its peers.
       started_ms: start of this process.
       spread: what has been passed on, and what was asked for.
@@ -93,6 +94,7 @@
         self.own_sync: sync.Sync
         self.configuration_sync: sync.Sync
         self.configuration_version: Callable[[], int]
+        self.store: coordination.Store
         self.is_uninformed: Callable[[], bool]
         self.started_ms = now_ms()
         self.spread = spreading.Spread()
@@ -167,6 +169,8 @@
     def on_told(self, giver: str, told: peering.Told) -> None:
         """Takes changes of the store from a neighbour."""
         items = [coordination.Item(*row) for row in told.items]
+        for item in items:
+            self.store.note_era(coordination.era_of(item.revision))
         self.tell(items, giver)
         self.own_sync.take_told(items)
         self.configuration_sync.take_told(items)
@@ -301,6 +305,7 @@
 
     def on_versions(self, versions: peering.Versions) -> None:
         """Takes which versions a peer knows."""
+        self.store.note_era(versions.era)
         if versions.configuration > self.configuration_version():
             self.later(self.ask_for_configuration, versions.configuration)
         for service, version in versions.tables.items():
@@ -315,4 +320,5 @@
                 service: table.version
                 for service, (table, _) in self.ownership.view.tables.items()
             },
+            self.store.era,
         )
--- a/tests/cover/test_mesh_sync.py
+++ b/tests/cover/test_mesh_sync.py
@@ -50,3 +50,63 @@
         key = f"own/m/{revision}"
         made.take_told([coordination.Item(key, None, revision)])
     assert len(made.removed) == 10
+
+
+def test_a_later_era_makes_a_node_list_again():
+    made, taken = followed()
+    made.must_list = False
+    made.begin_era(2)
+    assert made.must_list
+    old = coordination.Item("own/m/a", b"1", coordination.revision_of(1, 99))
+    new = coordination.Item("own/m/a", b"2", coordination.revision_of(2, 3))
+    made.take_told([old, new, old])
+    assert taken == [new]
+
+
+def test_a_listing_of_a_later_era_removes_what_only_the_older_one_had():
+    made, taken = followed()
+    old = coordination.Item("own/m/a", b"1", coordination.revision_of(1, 99))
+    made.take_told([old])
+    made.begin_era(2)
+    revision = coordination.revision_of(2, 3)
+    made.take_listing(coordination.Listing([], revision))
+    assert taken == [old, coordination.Item("own/m/a", None, revision)]
+
+
+class OldCopy(coordination.Store):
+    """A store whose stale answers are of a later era than its others."""
+
+    def __init__(self, listing):
+        self.listing = listing
+
+    async def list_all(self, prefix, stale=False):
+        return self.listing
+
+    async def read(self, key):
+        raise NotImplementedError
+
+    async def watch(self, prefix, after, wait_ms):
+        raise NotImplementedError
+
+    async def change(self, expected, puts, removes):
+        raise NotImplementedError
+
+    def note_era(self, era):
+        raise NotImplementedError
+
+    def close(self):
+        pass
+
+
+async def test_an_old_copy_of_a_later_era_removes_nothing(monkeypatch):
+    """It may lack what was written again since the restore."""
+    monkeypatch.setattr(sync, "GLANCE_S", 0.0)
+    made, taken = followed()
+    made.must_list = False
+    old = coordination.Item("own/m/a", b"1", coordination.revision_of(1, 99))
+    made.take_told([old])
+    revision = coordination.revision_of(2, 3)
+    made.store = OldCopy(coordination.Listing([], revision))
+    await made.glance()
+    assert taken == [old]
+    assert made.must_list
