Keep or renew a node's own record through a restore

Cause: a node took itself for registered after the restore had lost its record, where it knew the record only from its own write; and where the record was still there, its revision was of the new era, the node renewed the term of the older one, and no witness took it: the lease ended.

--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -120,8 +120,12 @@
         self.witness.on_record(now_ms, member, item.revision)
         if name != self.name or item.revision <= self.record.revision:
             return
-        if self.record.revision and member != self.record.record:
-            self.record.lose("record_replaced", item.revision)
+        own = self.record
+        if not own.revision or own.follow_era(member, item.revision):
+            return
+        era = coordination.era_of(item.revision)
+        if member != own.record or era > coordination.era_of(own.revision):
+            own.lose("record_replaced", item.revision)
 
     def _on_table(self, service: str, item: coordination.Item) -> None:
         if item.value is None:
@@ -139,11 +143,13 @@
         self, service: str, table: table_module.KeyTable, revision: int
     ) -> None:
         """Takes a version of a table, read or written."""
+        known = self.view.tables.get(service)
         if not self.view.adopt_table(service, table, revision):
             return
+        is_same = known is not None and known[0] == table
         self.on_table(service, table)
         if service == self.settings.service:
-            if table.version == 1:
+            if table.version == 1 and not is_same:
                 self.record.is_confirmed = False
             self.holder.take_table(table)
             self.log.write(
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -43,6 +43,24 @@
         self.revision = 0
         self.record = None
 
+    def follow_era(self, record: model.Member, revision: int) -> bool:
+        """Goes on with this record where a restored store has it unchanged.
+
+        While the lease is live, no takeover has given this node's keys away:
+        it would have waited for the end of every renewal.
+        """
+        in_later_era = coordination.era_of(revision) > coordination.era_of(
+            self.revision
+        )
+        is_live = self.lease.ends_ms() > self.now_ms()
+        if not in_later_era or record != self.record or not is_live:
+            return False
+        self.revision = revision
+        self.view.members[self.name] = (record, revision)
+        self.lease.settle(revision, record.witnesses)
+        self.log.write("record_kept", revision=revision)
+        return True
+
     async def register(self) -> None:
         """Writes this node's record, or finds it as it should be."""
         known = self.view.members.get(self.name)
@@ -96,11 +114,21 @@
         owners. No record of an owner is removed after it, except by a takeover.
         """
         item = await self.store.read(self.view.member_key(self.name))
-        if item is None or item.revision != self.revision:
+        if item is None or not self._is_own(item):
             self.lose("record_replaced", item.revision if item else 0)
             await self.parts.read_back()
         self.is_confirmed = True
 
+    def _is_own(self, item: coordination.Item) -> bool:
+        """Whether an item of the store is the record as it was written."""
+        if item.revision == self.revision:
+            return True
+        try:
+            record = view_module.decode_member(item.value)
+        except view_module.UnreadableItemError:
+            return False
+        return self.follow_era(record, item.revision)
+
     async def change_witnesses(self, now_ms: float) -> None:
         """Replaces witnesses that are silent, or adds missing ones."""
         if now_ms - self.started_ms < parts_module.SETTLE_MS:
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -112,6 +112,19 @@
         raw = [item for item in self.raw.values() if item.value is not None]
         return raw + tables
 
+    def revisions(self) -> dict[str, int]:
+        """Revision of every item that is not known to be removed."""
+        found = {
+            item.key: item.revision
+            for item in self.raw.values()
+            if item.value is not None
+        }
+        for name, (_, revision) in self.members.items():
+            found[self.member_key(name)] = revision
+        for service, (_, revision) in self.tables.items():
+            found[self.table_key(service)] = revision
+        return found
+
     def item(self, key: str) -> coordination.Item | None:
         """One item; None if it is not known or was removed."""
         kind, name = self.split(key)
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -389,6 +389,30 @@
     )
 
 
+async def test_a_restore_that_loses_nothing_ends_no_lease(fleet):
+    """Each record had a revision of the new era; its node renewed the term of
+    the older one, which no witness took any more."""
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and host.node.ownership.record.record.witnesses
+            for host in fleet.hosts[:3]
+        )
+    )
+    await fleet.until(lambda: all_held(fleet))
+    copy_of(fleet)
+    fleet.store.restore(5.0)
+    nodes = [host.node for host in fleet.hosts[:3]]
+    lost = sum(node.log.counts.get("lease_lost", 0) for node in nodes)
+    for _ in range(30):
+        await asyncio.sleep(0.2)
+        assert all_held(fleet)
+    assert sum(node.log.counts.get("lease_lost", 0) for node in nodes) == lost
+    assert {
+        coordination.era_of(node.ownership.lease.term) for node in nodes
+    } == {1}
+
+
 async def test_a_configuration_in_force_does_not_go_back(fleet):
     """The copy's is older; the operator's is written again a moment later."""
     copy_of(fleet)
