Write a key table that the store lost again before any change

Cause: after a restore the store has an older table, or none: nodes planned moves on it, gave its next version out a second time, or dealt all keys anew while targets held them. Change: a node keeps the newest table that it knows apart from what the store says (view.lost) and goes on granting and routing by it; the nodes of its service write it again by compare-and-swap, one after another; nobody plans, moves, deals, takes keys over or forgets records before, nor within 1.5 s of news of a restore. Also a test that a store whose first era is 3 is used as any other.

--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -41,6 +41,13 @@
 ADOPT_EVERY_MS = 300.0
 """Between two looks for owners that are gone; they were lost seconds ago."""
 
+PUT_BACK_EVERY_MS = 60.0
+"""Between the nodes that may write a lost table again: one change, and the news
+of it, take less."""
+
+PUT_BACK_LAST_MS = 900.0
+"""The last of them begins after this."""
+
 GONE_MAX = 8
 """Lost owners whose keys one change moves, beside those it gives keys to."""
 
@@ -58,6 +65,7 @@
       listed_ms: when the store was last listed for the first deal.
       adopted_ms: when it last looked for owners that are gone.
       missing_since_ms: since when owners have no record, by name.
+      lost_since_ms: since when the store lacks the newest table; None if not.
       basis: what the last plan was made from.
       wanted: moves of the last plan.
       cooling: watches hot keys.
@@ -75,6 +83,7 @@
         self.listed_ms = 0.0
         self.adopted_ms = 0.0
         self.missing_since_ms: dict[str, float] = {}
+        self.lost_since_ms: float | None = None
         self.basis: tuple = ()
         self.wanted: dict[int, model.Life] = {}
         self.cooling = cooling.Cooling(parts)
@@ -189,6 +198,34 @@
         if known is not None:
             self._give(known[0])
 
+    async def put_back(self, now_ms: float) -> bool:
+        """Writes the newest known table where a restored store lost it.
+
+        Every node of the service may; they begin one after another.
+        """
+        service = self.settings.service
+        lost = self.view.lost.get(service)
+        if lost is None:
+            self.lost_since_ms = None
+            return False
+        if self.lost_since_ms is None:
+            self.lost_since_ms = now_ms
+        entries = self.hub.directory.entries.values()
+        before = sum(
+            1
+            for entry in entries
+            if entry.service == service
+            and entry.name < self.name
+            and not entry.silent
+        )
+        delay_ms = min(before * PUT_BACK_EVERY_MS, PUT_BACK_LAST_MS)
+        if now_ms - self.lost_since_ms >= delay_ms:
+            known = self.view.tables.get(service)
+            await self._write_table(
+                lost, known[1] if known else 0, set(), "put_back"
+            )
+        return True
+
     async def deal(self, now_ms: float) -> None:
         """Deals the keys of this node's service for the first time."""
         service = self.settings.service
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -128,10 +128,12 @@
             own.lose("record_replaced", item.revision)
 
     def _on_table(self, service: str, item: coordination.Item) -> None:
-        if item.value is None:
-            return
         if self.view.known_revision(item.key) >= item.revision:
             return
+        if item.value is None:
+            # Nobody removes a table.
+            self.view.note_lost(service)
+            return
         try:
             table = view_module.decode_table(item.value)
         except view_module.UnreadableItemError as error:
@@ -147,6 +149,17 @@
         if not self.view.adopt_table(service, table, revision):
             return
         is_same = known is not None and known[0] == table
+        newest = self.view.lost.pop(service, known and known[0])
+        if newest is not None and newest.version > table.version:
+            # Only a restore takes a table back.
+            self.view.lost[service] = newest
+            self.log.write(
+                "table_lost",
+                service=service,
+                version=newest.version,
+                found=table.version,
+            )
+            return
         self.on_table(service, table)
         if service == self.settings.service:
             if table.version == 1 and not is_same:
@@ -199,12 +212,21 @@
             self.news.set()
         if self.keyed and self.record.revision and not live:
             self._doubt(now_ms)
-        if self.keyed:
+        if self.keyed and not self.is_restoring(now_ms):
             self.moves.plan(now_ms)
             self.moves.cool(now_ms)
         if self.record.revision:
             self.takeover.watch_over_others(now_ms)
 
+    def is_restoring(self, now_ms: float) -> bool:
+        """Whether tables that a restored store lost may have to come first.
+
+        They are written again by those who know them; a change made before
+        would take the place of one of them.
+        """
+        since_ms = now_ms - self.parts.era_ms
+        return bool(self.view.lost) or since_ms < parts_module.PUT_BACK_MS
+
     def ask_witnesses(self, now_ms: float) -> None:
         """Asks for the renewals that are due."""
         for name in self.lease.ask(now_ms):
@@ -283,11 +305,14 @@
                 self.news.set()
                 return
             await self.record.change_witnesses(now_ms)
+            if await self.moves.put_back(now_ms) or self.is_restoring(now_ms):
+                return
             await self.moves.deal(now_ms)
             await self.moves.ask_store()
             await self.moves.hand_over(now_ms)
             await self.moves.adopt_orphans(now_ms)
-        await self.takeover.forget_lost(now_ms)
+        if not self.is_restoring(now_ms):
+            await self.takeover.forget_lost(now_ms)
 
     async def _read_back(self) -> None:
         """Learns what became of a change whose answer was lost."""
--- a/src/auburnrock/shells/mesh/parts.py
+++ b/src/auburnrock/shells/mesh/parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import math
 
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import heat as heat_module
@@ -24,6 +25,10 @@
 SETTLE_MS = 1_200.0
 """After a start, other nodes of the same start have registered by then."""
 
+PUT_BACK_MS = 1_500.0
+"""After news of a restore, those who know what it lost have written it again
+within this, or are cut off."""
+
 WRITE_PAUSE_MS = 150.0
 """After a failed write, before the next."""
 
@@ -41,6 +46,7 @@
       witness: renews other nodes' leases.
       started_ms: start of this process.
       news: set whenever the target's keys may have changed.
+      era_ms: when this process last heard that the store was restored.
       on_items: takes items of the store and the revision of their reading.
       read_back: lists the store, after a change of unknown outcome.
       adopt_table: takes a version of a table, read or written.
@@ -78,6 +84,7 @@
         self.started_ms = now_ms()
         self.lease = lease_module.Lease(self.name, term_ms)
         self.witness = lease_module.Witness(term_ms, self.started_ms)
+        self.era_ms = -math.inf
         self.news = asyncio.Event()
         self.on_items: Callable[[list[coordination.Item], int], None]
         self.read_back: Callable[[], Awaitable[None]]
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -167,6 +167,11 @@
 
     async def _take_keys(self, member: model.Member, revision: int) -> None:
         """Gives a sealed node's keys to others and removes its record."""
+        since_ms = self.now_ms() - self.parts.era_ms
+        is_restoring = since_ms < parts_module.PUT_BACK_MS
+        if is_restoring or member.service in self.view.lost:
+            self.log.write("takeover_waits", node=member.name)
+            return
         expected = {self.view.member_key(member.name): revision}
         puts: dict[str, bytes] = {}
         known = self.view.tables.get(member.service)
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -92,6 +92,8 @@
       prefix: begins the keys of all items.
       members: record and revision by name.
       tables: table and revision by service.
+      lost: newest known tables by service that a restored store does not have;
+        those in `tables` are what it says.
       bases: the last few earlier tables and revisions by service.
       raw: every item but the tables as read, by key.
     """
@@ -100,6 +102,7 @@
         self.prefix = prefix
         self.members: dict[str, tuple[model.Member, int]] = {}
         self.tables: dict[str, tuple[table_module.KeyTable, int]] = {}
+        self.lost: dict[str, table_module.KeyTable] = {}
         self.bases: dict[str, list[tuple[table_module.KeyTable, int]]] = {}
         self.raw: dict[str, coordination.Item] = {}
 
@@ -174,6 +177,13 @@
         self.tables[service] = (table, revision)
         return True
 
+    def note_lost(self, service: str) -> None:
+        """A restored store has no table of this service."""
+        known = self.tables.pop(service, None)
+        self.bases.pop(service, None)
+        if known is not None:
+            self.lost.setdefault(service, known[0])
+
     def table_told(self, item: coordination.Item) -> peering.TableTold | None:
         """A table's change for peers; None if they need the whole item.
 
--- a/src/auburnrock_standins/mesh_store.py
+++ b/src/auburnrock_standins/mesh_store.py
@@ -22,6 +22,9 @@
 OUTSIDE_PREFIXES = ("op/", "servers/")
 """Written by the operator and by upstreams, who write again what is lost."""
 
+FIRST_ERA = 0
+"""Of a store that was never restored."""
+
 WRITES_KEPT = 65_536
 """Writes that a restore can undo."""
 
@@ -86,7 +89,7 @@
       forgotten: changes up to this revision are no longer kept.
       switches: failures.
       calls: calls by path.
-      era: how often it was restored; a test may let it begin later.
+      era: rises by one with each restore.
       writes: the last writes, oldest first.
       is_away: no call is answered, and waiting ones are cut.
     """
@@ -99,7 +102,7 @@
         self.switches = Switches()
         self.calls: dict[str, int] = {}
         self.now_s = now_s
-        self.era = 0
+        self.era = FIRST_ERA
         self.writes: collections.deque[Write] = collections.deque()
         self.is_away = False
         self.changed = asyncio.Event()
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 import pytest_asyncio
 
@@ -9,6 +10,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.shells.mesh import relay
+from auburnrock_standins import mesh_store
 from tests.common import mesh_fleet
 from tests.common import mesh_grants
 from tests.common import mesh_restores
@@ -413,6 +415,71 @@
     } == {1}
 
 
+async def test_who_knows_a_lost_move_writes_it_again(fleet):
+    """Nobody makes another change before, and the keys stay where they are."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    copy_of(fleet)
+    fleet.hosts[0].target.state = "draining"
+    await fleet.until(
+        lambda: not fleet.hosts[0].target.holds and all_held(fleet), 5.0
+    )
+    moved = fleet.store.value(TABLE)
+    fleet.store.restore(5.0)
+    assert fleet.store.value(TABLE) != moved
+    for _ in range(60):
+        await asyncio.sleep(0.05)
+        assert all_held(fleet)
+        assert not fleet.hosts[0].target.holds
+    assert fleet.store.value(TABLE) == moved
+    assert oracle.faults == []
+
+
+async def test_a_lost_first_deal_is_written_again(fleet):
+    """The keys were dealt anew while targets held them."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and host.node.ownership.record.record.witnesses
+            for host in fleet.hosts[:3]
+        )
+    )
+    copy_of(fleet)
+    store = fleet.store
+    store.note_write(TABLE, None)
+    store.writes.append(
+        msgspec.structs.replace(store.writes.pop(), before=None)
+    )
+    dealt = store.value(TABLE)
+    store.restore(5.0)
+    assert store.value(TABLE) is None
+    for _ in range(60):
+        await asyncio.sleep(0.05)
+        assert all_held(fleet)
+    assert store.value(TABLE) == dealt
+    assert oracle.faults == []
+
+
+async def test_a_later_first_era_changes_nothing(monkeypatch):
+    monkeypatch.setattr(mesh_store, "FIRST_ERA", 3)
+    made = mesh_fleet.Fleet()
+    try:
+        await made.start("portal", "portal", "booker")
+        made.hosts[0].target.state = "draining"
+        await made.until(
+            lambda: not made.hosts[0].target.holds and all_held(made), 5.0
+        )
+        nodes = [host.node for host in made.hosts]
+        assert {node.store.era for node in nodes} == {3}
+        assert not any(node.log.counts.get("store_era") for node in nodes)
+    finally:
+        await made.stop()
+
+
 async def test_a_configuration_in_force_does_not_go_back(fleet):
     """The copy's is older; the operator's is written again a moment later."""
     copy_of(fleet)
