Settle each key table in the store's era before it is changed

Cause: a process that starts after a restore took the store's table for the newest: it gave keys and tokens of a lost move, or of a lost takeover, to others while targets held them. Change: a table says the era that it was last changed in. While that is not the store's, lost versions are put back, nobody changes it otherwise, and a process that has started in the era grants only what its target reports. A lease's term after the news of the era a node of the service writes it again, its version raised by 2^14, above all that may be lost.

The tests of what is put back now check every table that was written, in order.

--- a/src/auburnrock/engine/mesh/holder.py
+++ b/src/auburnrock/engine/mesh/holder.py
@@ -51,6 +51,9 @@
       uncertain: whether an answer on these moves was lost; the change may be
         made at any later moment.
       handovers: what the target gave for the stripes that it freed.
+      reported_only: whether only what the target reports is granted: the store
+        may have lost a version of the table that gave the rest to others.
+      holds: what the last heartbeat reported.
       unknown_until_ms: an earlier process may have granted until then.
     """
 
@@ -62,11 +65,13 @@
         "handovers",
         "heard_ms",
         "hold_ms",
+        "holds",
         "life",
         "member",
         "owned",
         "pending",
         "reported",
+        "reported_only",
         "sequence",
         "table",
         "touched",
@@ -93,6 +98,8 @@
         self.handovers: dict[int, str] = {}
         self.pending: dict[int, tuple[model.Life, str]] = {}
         self.uncertain = False
+        self.reported_only = False
+        self.holds: list[model.HeldRange] = []
         self.unknown_until_ms = now_ms + hold_ms * SLOW_CLOCK
 
     def on_heartbeat(self, now_ms: float, beat: model.Heartbeat) -> bool:
@@ -110,6 +117,7 @@
         self.draining = self.draining or (
             beat.state is model.TargetState.DRAINING
         )
+        self.holds = beat.holds
         if self.table is not None:
             self._note_reported(beat.holds)
             self._note_freed(beat.freed)
@@ -131,6 +139,9 @@
         """Takes a version of the table; older ones are ignored."""
         if self.table is not None and table.version <= self.table.version:
             return
+        if self.table is None:
+            self.table = table
+            self._note_reported(self.holds)
         self.table = table
         # A change is made under the version before it, so none is open now.
         self.change_failed()
@@ -196,7 +207,9 @@
         return [
             index
             for index in self.own_stripes()
-            if index not in self.giving and index not in self.pending
+            if index not in self.giving
+            and index not in self.pending
+            and (not self.reported_only or self._is_reported(index))
         ]
 
     def _row(self, index: int) -> model.HeldRange:
@@ -299,6 +312,7 @@
         self.granted.clear()
         self.giving.clear()
         self.handovers.clear()
+        self.holds = []
         self.reported.clear()
         self.touched.clear()
 
--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -7,6 +7,10 @@
 apart. Each change of the table raises its version, and the version is the
 fencing token of all that the change gives away. So a token is above every
 earlier one, whoever makes the change.
+
+A store that is restored from an older copy may have lost versions of a table.
+So a table says the era of the store in which it was last changed; in another
+era it is settled first, with a version above all that may be lost.
 """
 
 import collections
@@ -32,6 +36,10 @@
 RUN_STRIPES = 3
 """Stripes of a run where the bounds allow it."""
 
+ERA_STEP = 1 << 14
+"""How much the version rises in the first change of an era: one table does not
+change as often within the age of a copy. Tokens take 3 bytes up to 2^16."""
+
 
 class Stripe(msgspec.Struct, frozen=True, array_like=True):
     """Owner of a stripe.
@@ -55,12 +63,18 @@
       lives: starts of targets that own stripes.
       stripes: in the order of their keys.
       run: stripes of a run; moves for the shares' sake keep it together.
+      era: the store's era in which it was last changed.
     """
 
     version: int
     lives: tuple[model.Life, ...]
     stripes: tuple[Stripe, ...]
     run: int = 1
+    era: int = 0
+
+    def rank(self) -> tuple[int, int]:
+        """Orders versions of one table."""
+        return self.era, self.version
 
     def span(self, index: int) -> tuple[int, int]:
         """First and last key of a stripe."""
@@ -119,11 +133,13 @@
       lives: of the later one; empty if they are the same.
       stripes: first index and count of neighbours that differ and become
         alike, and what they become.
+      era: of the later one.
     """
 
     version: int
     lives: tuple[model.Life, ...]
     stripes: tuple[tuple[int, int, Stripe], ...]
+    era: int = 0
 
 
 def difference(before: KeyTable, after: KeyTable) -> TableChange | None:
@@ -147,7 +163,7 @@
                 continue
         stripes.append((index, 1, stripe))
     lives = () if after.lives == before.lives else after.lives
-    return TableChange(after.version, lives, tuple(stripes))
+    return TableChange(after.version, lives, tuple(stripes), after.era)
 
 
 def applied(before: KeyTable, change: TableChange) -> KeyTable:
@@ -156,7 +172,16 @@
     stripes = _renumbered(before, lives)
     for first, count, stripe in change.stripes:
         stripes[first : first + count] = [stripe] * count
-    return KeyTable(change.version, lives, tuple(stripes), before.run)
+    return KeyTable(
+        change.version, lives, tuple(stripes), before.run, change.era
+    )
+
+
+def settled(table: KeyTable, era: int) -> KeyTable:
+    """The same ownership in a later era of the store."""
+    return msgspec.structs.replace(
+        table, version=table.version + ERA_STEP, era=era
+    )
 
 
 def _renumbered(
@@ -220,12 +245,18 @@
             if stripe.owner in crowded and index not in moves:
                 # With one token, its neighbouring stripes fit one row.
                 stripes[index] = Stripe(stripe.owner, version)
-    later = KeyTable(version, tuple(lives), tuple(stripes), table.run)
+    later = KeyTable(
+        version, tuple(lives), tuple(stripes), table.run, table.era
+    )
     if len(rows) == len(lives):
         return later
     owners = tuple(life for place, life in enumerate(lives) if rows[place])
     return KeyTable(
-        version, owners, tuple(_renumbered(later, owners)), table.run
+        version,
+        owners,
+        tuple(_renumbered(later, owners)),
+        table.run,
+        table.era,
     )
 
 
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -4,7 +4,10 @@
 import math
 import random
 
+import msgspec
+
 from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import holder as holder_module
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
 from auburnrock.engine.mesh import table as table_module
@@ -66,6 +69,7 @@
       adopted_ms: when it last looked for owners that are gone.
       missing_since_ms: since when owners have no record, by name.
       lost_since_ms: since when the store lacks the newest table; None if not.
+      unsettled_since_ms: since when the table is of an older era; None if not.
       basis: what the last plan was made from.
       wanted: moves of the last plan.
       cooling: watches hot keys.
@@ -83,6 +87,7 @@
         self.listed_ms = 0.0
         self.adopted_ms = 0.0
         self.missing_since_ms: dict[str, float] = {}
+        self.unsettled_since_ms: float | None = None
         self.lost_since_ms: float | None = None
         self.basis: tuple = ()
         self.wanted: dict[int, model.Life] = {}
@@ -210,22 +215,44 @@
             return False
         if self.lost_since_ms is None:
             self.lost_since_ms = now_ms
-        entries = self.hub.directory.entries.values()
-        before = sum(
-            1
-            for entry in entries
-            if entry.service == service
-            and entry.name < self.name
-            and not entry.silent
-        )
-        delay_ms = min(before * PUT_BACK_EVERY_MS, PUT_BACK_LAST_MS)
-        if now_ms - self.lost_since_ms >= delay_ms:
+        if now_ms - self.lost_since_ms >= self._turn_ms():
             known = self.view.tables.get(service)
             await self._write_table(
                 lost, known[1] if known else 0, set(), "put_back"
             )
         return True
 
+    def _turn_ms(self) -> float:
+        """When it is this node's turn, of the nodes of its service."""
+        before = sum(
+            1
+            for entry in self.hub.directory.entries.values()
+            if entry.service == self.settings.service
+            and entry.name < self.name
+            and not entry.silent
+        )
+        return min(before * PUT_BACK_EVERY_MS, PUT_BACK_LAST_MS)
+
+    async def settle(self, now_ms: float) -> None:
+        """Writes the table in the store's era, once nobody can know more.
+
+        Who knows a later version and has not put it back within a term is cut
+        off: witnesses renew no term of the era before, and no grant outlasts
+        its lease.
+        """
+        service = self.settings.service
+        era = self.store.era
+        if not self.view.is_unsettled(service, era):
+            self.unsettled_since_ms = None
+            return
+        if self.unsettled_since_ms is None:
+            self.unsettled_since_ms = now_ms
+        wait_ms = self.lease.term_ms * holder_module.SLOW_CLOCK
+        if now_ms - self.unsettled_since_ms >= wait_ms + self._turn_ms():
+            table, revision = self.view.tables[service]
+            settled = table_module.settled(table, era)
+            await self._write_table(settled, revision, set(), "settle")
+
     async def deal(self, now_ms: float) -> None:
         """Deals the keys of this node's service for the first time."""
         service = self.settings.service
@@ -252,7 +279,9 @@
             await self.parts.read_back()
             self.listed_ms = self.now_ms()
             return
-        table = plan.first_table(weights)
+        table = msgspec.structs.replace(
+            plan.first_table(weights), era=self.store.era
+        )
         # The records of all would not fit one change. So each owner reads its
         # own before it grants anything, and adopt_orphans sees to the keys of
         # one that has lost it.
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -150,7 +150,7 @@
             return
         is_same = known is not None and known[0] == table
         newest = self.view.lost.pop(service, known and known[0])
-        if newest is not None and newest.version > table.version:
+        if newest is not None and newest.rank() > table.rank():
             # Only a restore takes a table back.
             self.view.lost[service] = newest
             self.log.write(
@@ -162,6 +162,9 @@
             return
         self.on_table(service, table)
         if service == self.settings.service:
+            if known is None or not self.is_unsettled(service):
+                # Who starts in an era cannot know what was lost before it.
+                self.holder.reported_only = self.is_unsettled(service)
             if table.version == 1 and not is_same:
                 self.record.is_confirmed = False
             self.holder.take_table(table)
@@ -225,7 +228,12 @@
         would take the place of one of them.
         """
         since_ms = now_ms - self.parts.era_ms
-        return bool(self.view.lost) or since_ms < parts_module.PUT_BACK_MS
+        is_recent = since_ms < parts_module.PUT_BACK_MS
+        return is_recent or self.is_unsettled(self.settings.service)
+
+    def is_unsettled(self, service: str) -> bool:
+        """Whether a table was not yet written in the store's era."""
+        return self.view.is_unsettled(service, self.store.era)
 
     def ask_witnesses(self, now_ms: float) -> None:
         """Asks for the renewals that are due."""
@@ -305,7 +313,10 @@
                 self.news.set()
                 return
             await self.record.change_witnesses(now_ms)
-            if await self.moves.put_back(now_ms) or self.is_restoring(now_ms):
+            if await self.moves.put_back(now_ms):
+                return
+            await self.moves.settle(now_ms)
+            if self.is_restoring(now_ms):
                 return
             await self.moves.deal(now_ms)
             await self.moves.ask_store()
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -169,7 +169,8 @@
         """Gives a sealed node's keys to others and removes its record."""
         since_ms = self.now_ms() - self.parts.era_ms
         is_restoring = since_ms < parts_module.PUT_BACK_MS
-        if is_restoring or member.service in self.view.lost:
+        era = self.store.era
+        if is_restoring or self.view.is_unsettled(member.service, era):
             self.log.write("takeover_waits", node=member.name)
             return
         expected = {self.view.member_key(member.name): revision}
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -177,6 +177,13 @@
         self.tables[service] = (table, revision)
         return True
 
+    def is_unsettled(self, service: str, era: int) -> bool:
+        """Whether a table was not yet written in this era of the store."""
+        known = self.tables.get(service)
+        if service in self.lost:
+            return True
+        return known is not None and known[0].era < era
+
     def note_lost(self, service: str) -> None:
         """A restored store has no table of this service."""
         known = self.tables.pop(service, None)
--- a/tests/cover/test_mesh_holder.py
+++ b/tests/cover/test_mesh_holder.py
@@ -275,3 +275,20 @@
     holder = holder_of("a", after)
     holder.take_table(table)
     assert holder.table is after
+
+
+def test_only_what_a_target_reports_is_granted_by_a_table_that_may_be_old():
+    """A lost version may have given the rest to others."""
+    made = holder_module.Holder("a", mesh.HOLD_MS, 0.0)
+    known = mesh.table("a", "b")
+    own = known.owned_by(mesh.life("a"))
+    first, last = known.span(own[0])
+    row = model.HeldRange(first, last, 1)
+    # It comes before the table is known.
+    made.on_heartbeat(10.0, mesh.heartbeat("a", 1, holds=[row]))
+    made.reported_only = True
+    made.take_table(known)
+    reply = made.reply(20.0, 10.0, 1e9)
+    assert [(each.first, each.last) for each in reply.holds] == [(first, last)]
+    made.reported_only = False
+    assert made.has_news()
--- a/tests/cover/test_mesh_plan.py
+++ b/tests/cover/test_mesh_plan.py
@@ -251,3 +251,18 @@
     for place, name in enumerate(names):
         weights[mesh.life(name)] *= 1.0 + 0.02 * (place % 3)
     assert plan.moves(table, weights) == {}
+
+
+def test_a_table_is_settled_above_all_that_the_store_may_have_lost():
+    before = mesh.table("a", "b")
+    lost = table_module.changed(before, {0: (mesh.life("b"), "")})
+    later = table_module.settled(before, 1)
+    assert later.rank() > lost.rank()
+    assert later.version > lost.version
+    assert later.stripes == before.stripes
+    after = table_module.changed(later, {0: (mesh.life("b"), "")})
+    assert after.era == 1
+    change = table_module.difference(later, after)
+    assert table_module.applied(later, change) == after
+    change = table_module.difference(before, later)
+    assert table_module.applied(before, change) == later
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -1,6 +1,7 @@
 """A store that is restored from an older copy, in the next era."""
 
 import asyncio
+import base64
 
 import msgspec
 import pytest
@@ -9,7 +10,9 @@
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import table as table_module
 from auburnrock.shells.mesh import relay
+from auburnrock.shells.mesh import view
 from auburnrock_standins import mesh_store
 from tests.common import mesh_fleet
 from tests.common import mesh_grants
@@ -290,6 +293,28 @@
     return sum(target.keys() for target in targets) == model.KEYS
 
 
+def tables_written(fleet):
+    """Every table that was written since the restore, in its order."""
+    return [
+        view.decode_table(base64.b64decode(write.value))
+        for write in fleet.store.writes
+        if write.key == TABLE
+    ]
+
+
+async def assert_written_again(fleet, lost):
+    """The lost table comes back first, and is settled in the era later."""
+    known = view.decode_table(lost)
+    assert await mesh_restores.until(lambda: tables_written(fleet), 2.0)
+    while len(tables_written(fleet)) < 2:
+        await asyncio.sleep(0.05)
+        assert all_held(fleet)
+    written = tables_written(fleet)[:2]
+    assert written == [known, table_module.settled(known, 1)]
+    await asyncio.sleep(0.5)
+    assert all_held(fleet)
+
+
 async def move_lost(fleet):
     """A target's keys are moved, and the store loses the move.
 
@@ -314,7 +339,8 @@
     fleet.store.restore(5.0)
     await moved.start_node()
     oracle.watch(await moved.start_target())
-    await mesh_restores.until(lambda: oracle.faults, 5.0)
+    await mesh_restores.until(lambda: oracle.faults, 7.0)
+    assert await mesh_restores.until(lambda: all_held(fleet), 3.0)
     return oracle
 
 
@@ -353,8 +379,9 @@
     for host in fleet.hosts:
         await host.start_node()
     oracle.watch(await dead.start_target())
-    await mesh_restores.until(lambda: oracle.faults, 5.0)
+    await mesh_restores.until(lambda: oracle.faults, 7.0)
     assert oracle.faults == []
+    assert await mesh_restores.until(lambda: all_held(fleet), 3.0)
 
 
 async def test_a_node_taken_for_dead_serves_again_after_the_restore(fleet):
@@ -394,10 +421,13 @@
 async def test_a_restore_that_loses_nothing_ends_no_lease(fleet):
     """Each record had a revision of the new era; its node renewed the term of
     the older one, which no witness took any more."""
+    # A change of the witnesses ends a lease for a moment by itself.
     await fleet.until(
         lambda: all(
             host.node.ownership.record.record
-            and host.node.ownership.record.record.witnesses
+            and len(host.node.ownership.record.record.witnesses) == 3
+            and len(host.node.ownership.lease.witnesses) == 1
+            and host.node.ownership.was_live
             for host in fleet.hosts[:3]
         )
     )
@@ -428,11 +458,8 @@
     moved = fleet.store.value(TABLE)
     fleet.store.restore(5.0)
     assert fleet.store.value(TABLE) != moved
-    for _ in range(60):
-        await asyncio.sleep(0.05)
-        assert all_held(fleet)
-        assert not fleet.hosts[0].target.holds
-    assert fleet.store.value(TABLE) == moved
+    await assert_written_again(fleet, moved)
+    assert not fleet.hosts[0].target.holds
     assert oracle.faults == []
 
 
@@ -457,10 +484,7 @@
     dealt = store.value(TABLE)
     store.restore(5.0)
     assert store.value(TABLE) is None
-    for _ in range(60):
-        await asyncio.sleep(0.05)
-        assert all_held(fleet)
-    assert store.value(TABLE) == dealt
+    await assert_written_again(fleet, dealt)
     assert oracle.faults == []
 
 
