Make every change of the store fail once another era has begun

Cause: a change that was sent before its sender could hear of a restore was made on another node's write, whose revision had the same number. Change: the first change of a process in an era also writes the era's mark, unless it has listed it, and every change expects the mark of the next era to be absent. It costs a row of each change and no call; a store that names no era gets no mark. Weighed: one key that each change expects at its revision; a whole fleet's first start would then pay a call more for each node. So that the longest change keeps to 32 entries, one change moves the keys of six lost owners, not eight; the rest follow 0.3 s later. Not closed: late changes before the first change of the new era; a second restore from a copy older than the first change after the first one.

The client that stands for another node in it lists first, as every process does before it changes anything.

--- a/src/auburnrock/platform/names.py
+++ b/src/auburnrock/platform/names.py
@@ -26,3 +26,5 @@
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 OWN_PREFIX = "auburnrock/"
+# Followed by an era: the system has made changes in it.
+ERA_PREFIX = "auburnrock/e/"
--- a/src/auburnrock/platform/store.py
+++ b/src/auburnrock/platform/store.py
@@ -79,7 +79,17 @@
 
 
 class Store(coordination.Store):
-    """The store over HTTP; counts its calls for the metrics."""
+    """The store over HTTP; counts its calls for the metrics.
+
+    A restore may come between the answer that a change was decided on and the
+    change, and no call can tell. So the first change of each process in an era
+    also writes the mark of that era, and every change is conditional on the
+    absence of the mark of the next one: it fails once any change was made in
+    that.
+
+    Attributes:
+      marked_era: the latest era whose mark is known to be written; -1 before.
+    """
 
     def __init__(self, address: str, now_ms: Callable[[], float]):
         self.address = address
@@ -88,6 +98,8 @@
         self.calls = 0
         self.answered_ms = 0.0
         self.era = 0
+        self.has_era = False
+        self.marked_era = -1
         self.on_era: Callable[[int], None] = lambda era: None
 
     async def read(self, key: str) -> coordination.Item | None:
@@ -120,7 +132,7 @@
                     f"restored between two pages, in era {self.era}"
                 )
             era = self.era
-            items += [_item(item, era) for item in page.items]
+            items += self._items(page.items)
             # Pages are no snapshot: what changed after the first page is
             # seen again by a watch that begins at its revision.
             revision = revision or coordination.revision_of(
@@ -151,7 +163,7 @@
             raise coordination.HistoryLostError("the history is gone")
         changes = self._decode(_Watch, answer, 200)
         return coordination.Changes(
-            [_item(item, era) for item in changes.events],
+            self._items(changes.events),
             coordination.revision_of(era, changes.store_revision),
         )
 
@@ -179,11 +191,22 @@
             ],
             removes,
         )
+        if self.has_era:
+            next_mark = f"{names.ERA_PREFIX}{self.era + 1}"
+            message.expected_rev.append(_Expected(next_mark, 0))
+            if self.marked_era < self.era:
+                own_mark = f"{names.ERA_PREFIX}{self.era}"
+                message.put_items.append(_Put(own_mark, ""))
+        began_era = self.era
         answer = await self._exchange(
             b"POST", "/auburnrock/kv-txn", forms.encode(message), CALL_TIMEOUT_S
         )
         if answer.status == 412:
             conflict = self._decode(_Conflict, answer, 412)
+            if any(_is_mark(item) for item in conflict.items):
+                raise coordination.EraPassedError(
+                    f"changes were made in era {began_era + 1}"
+                )
             return coordination.Conflict(
                 [_item(item, self.era) for item in conflict.items]
             )
@@ -192,6 +215,8 @@
             raise coordination.StoreUnknownError(
                 f"decided in era {min(eras)}, made in {self.era}"
             )
+        if self.era == began_era and self.has_era:
+            self.marked_era = self.era
         return coordination.revision_of(self.era, number)
 
     def close(self) -> None:
@@ -237,6 +262,13 @@
         self.answered_ms = self.now_ms()
         return answer
 
+    def _items(self, wire: list[_Item]) -> list[coordination.Item]:
+        """Items of an answer in the present era, without marks of eras."""
+        own_mark = f"{names.ERA_PREFIX}{self.era}"
+        if any(item.key == own_mark for item in wire):
+            self.marked_era = self.era
+        return [_item(item, self.era) for item in wire if not _is_mark(item)]
+
     def note_era(self, era: int) -> None:
         """Takes the era that an answer, or a peer, has named."""
         if era > self.era:
@@ -258,6 +290,7 @@
             raise coordination.StoreUnknownError(
                 f"answer of era {text!r}, known is {self.era}"
             )
+        self.has_era = True
         self.note_era(era)
 
     def _decode(
@@ -271,6 +304,10 @@
             raise coordination.StoreUnknownError(str(error)) from error
 
 
+def _is_mark(wire: _Item) -> bool:
+    return wire.key.startswith(names.ERA_PREFIX)
+
+
 def _item(wire: _Item | _Read, era: int) -> coordination.Item:
     revision = coordination.revision_of(era, wire.rev)
     if wire.value is None:
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -51,7 +51,7 @@
 PUT_BACK_LAST_MS = 900.0
 """The last of them begins after this."""
 
-GONE_MAX = 8
+GONE_MAX = 6
 """Lost owners whose keys one change moves, beside those it gives keys to."""
 
 RECIPIENTS_MAX = 20
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -143,6 +143,8 @@
     revision = await client.change({RECORD: 0}, {RECORD: b"since"}, [])
     restored.restore()
     other = restored.client()
+    # As every process does before it changes anything.
+    await other.list_all("auburnrock/")
     again = await other.change({RECORD: 0}, {RECORD: b"other"}, [])
     assert restored.store.items[RECORD][1] == 3
     assert isinstance(again, int)
@@ -170,6 +172,42 @@
     assert restored.store.value(RECORD) == b"other"
 
 
+async def test_a_change_is_not_made_seconds_after_a_restore(restored):
+    """The store may carry out a call late, if its condition still holds."""
+    client = restored.client()
+    revision = await lost_change(restored, client)
+    # What it sends is what was sent before the restore.
+    late = restored.client()
+    late.era = 0
+    late.has_era = True
+    made = await outcome(late.change({RECORD: revision}, {}, [RECORD]))
+    assert isinstance(made, coordination.EraPassedError)
+    assert restored.store.value(RECORD) == b"other"
+
+
+async def test_marks_of_eras_cost_no_call_and_are_no_items(restored):
+    client = restored.client()
+    await client.list_all("auburnrock/")
+    revision = await client.change({RECORD: 0}, {RECORD: b"x"}, [])
+    assert sum(restored.store.calls.values()) == 2
+    assert restored.store.value("auburnrock/e/0") == b""
+    marked = restored.store.items["auburnrock/e/0"]
+    listing = await client.list_all("auburnrock/")
+    assert [item.key for item in listing.items] == [RECORD]
+    changes = await client.watch("auburnrock/", 1, 50)
+    assert [item.key for item in changes.items] == [RECORD]
+    await client.change({RECORD: revision}, {}, [RECORD])
+    assert restored.store.items["auburnrock/e/0"] == marked
+
+
+async def test_a_store_without_eras_gets_no_marks(restored):
+    restored.store.switches.hides_era = True
+    client = restored.client()
+    await client.list_all("auburnrock/")
+    await client.change({RECORD: 0}, {RECORD: b"x"}, [])
+    assert set(restored.store.items) == {RECORD, "op/config"}
+
+
 async def test_a_relayed_change_of_the_older_era_is_not_made(restored):
     """The helper knows of the restore; the node that decided does not."""
     client = restored.client()
