--- a/src/auburnrock/engine/mesh/peering.py
+++ b/src/auburnrock/engine/mesh/peering.py
@@ -24,10 +24,12 @@
     Attributes:
       configuration: version in force there; 0 before it knows one.
       tables: version of each key table by service.
+      era: the store's latest era known there.
     """
 
     configuration: int
     tables: dict[str, int]
+    era: int = 0
 
 
 class Hello(Message, tag=0):
@@ -293,7 +295,8 @@
 
     Attributes:
       number: identifies the question at its sender.
-      expected: revision by key; 0 stands for a key that does not exist.
+      expected: revision by key, which says the era that the change was decided
+        in; 0 stands for a key that does not exist.
       puts: new value by key.
       removes: keys to remove.
     """
--- a/src/auburnrock/platform/names.py
+++ b/src/auburnrock/platform/names.py
@@ -16,6 +16,8 @@
 SIGNATURE = b"auburnrock-response-seal"
 # The target did not run the request.
 NOT_RUN = b"auburnrock-not-executed"
+# Counts how often the store was restored; in all its answers.
+ERA = b"store-era"
 
 READINESS_PATH = b"/auburnrock/readiness"
 TARGETS_PATH = b"/auburnrock/instances/"
@@ -24,3 +26,5 @@
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 OWN_PREFIX = "auburnrock/"
+# Followed by an era: the system has made changes in it.
+ERA_PREFIX = "auburnrock/e/"
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -195,6 +195,8 @@
     def _connect_parts(self) -> None:
         self.telling.own_sync = self.own_sync
         self.telling.configuration_sync = self.configuration_sync
+        self.telling.store = self.store
+        self.store.on_era = self.on_era
         self.telling.configuration_version = self.configuration_version
         self.telling.is_uninformed = self.is_uninformed
         self.hub.execute = self.executor.run
@@ -433,6 +435,18 @@
         configuration = self.dispatcher.configuration
         return configuration.version if configuration else 0
 
+    def on_era(self, era: int) -> None:
+        """The store was restored, or has named its era for the first time."""
+        before = max(self.own_sync.era, self.configuration_sync.era)
+        if self.has_read():
+            self.log.write("store_era", before=before, after=era)
+            self.ownership.parts.era_ms = self.now_ms()
+        # What this node wrote itself, or peers told, may be lost as well.
+        for key, revision in self.ownership.view.revisions().items():
+            self.own_sync.note_told(key, revision)
+        self.own_sync.begin_era(era)
+        self.configuration_sync.begin_era(era)
+
     def on_operator_items(
         self, items: list[coordination.Item], revision: int
     ) -> None:
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -120,14 +120,20 @@
         self.witness.on_record(now_ms, member, item.revision)
         if name != self.name or item.revision <= self.record.revision:
             return
-        if self.record.revision and member != self.record.record:
-            self.record.lose("record_replaced", item.revision)
+        own = self.record
+        if not own.revision or own.follow_era(member, item.revision):
+            return
+        era = coordination.era_of(item.revision)
+        if member != own.record or era > coordination.era_of(own.revision):
+            own.lose("record_replaced", item.revision)
 
     def _on_table(self, service: str, item: coordination.Item) -> None:
-        if item.value is None:
-            return
         if self.view.known_revision(item.key) >= item.revision:
             return
+        if item.value is None:
+            # Nobody removes a table.
+            self.view.note_lost(service)
+            return
         try:
             table = view_module.decode_table(item.value)
         except view_module.UnreadableItemError as error:
@@ -139,11 +145,27 @@
         self, service: str, table: table_module.KeyTable, revision: int
     ) -> None:
         """Takes a version of a table, read or written."""
+        known = self.view.tables.get(service)
         if not self.view.adopt_table(service, table, revision):
             return
+        is_same = known is not None and known[0] == table
+        newest = self.view.lost.pop(service, known and known[0])
+        if newest is not None and newest.rank() > table.rank():
+            # Only a restore takes a table back.
+            self.view.lost[service] = newest
+            self.log.write(
+                "table_lost",
+                service=service,
+                version=newest.version,
+                found=table.version,
+            )
+            return
         self.on_table(service, table)
         if service == self.settings.service:
-            if table.version == 1:
+            if known is None or not self.is_unsettled(service):
+                # Who starts in an era cannot know what was lost before it.
+                self.holder.reported_only = self.is_unsettled(service)
+            if table.version == 1 and not is_same:
                 self.record.is_confirmed = False
             self.holder.take_table(table)
             self.log.write(
@@ -193,12 +215,26 @@
             self.news.set()
         if self.keyed and self.record.revision and not live:
             self._doubt(now_ms)
-        if self.keyed:
+        if self.keyed and not self.is_restoring(now_ms):
             self.moves.plan(now_ms)
             self.moves.cool(now_ms)
         if self.record.revision:
             self.takeover.watch_over_others(now_ms)
 
+    def is_restoring(self, now_ms: float) -> bool:
+        """Whether tables that a restored store lost may have to come first.
+
+        They are written again by those who know them; a change made before
+        would take the place of one of them.
+        """
+        since_ms = now_ms - self.parts.era_ms
+        is_recent = since_ms < parts_module.PUT_BACK_MS
+        return is_recent or self.is_unsettled(self.settings.service)
+
+    def is_unsettled(self, service: str) -> bool:
+        """Whether a table was not yet written in the store's era."""
+        return self.view.is_unsettled(service, self.store.era)
+
     def ask_witnesses(self, now_ms: float) -> None:
         """Asks for the renewals that are due."""
         for name in self.lease.ask(now_ms):
@@ -277,11 +313,17 @@
                 self.news.set()
                 return
             await self.record.change_witnesses(now_ms)
+            if await self.moves.put_back(now_ms):
+                return
+            await self.moves.settle(now_ms)
+            if self.is_restoring(now_ms):
+                return
             await self.moves.deal(now_ms)
             await self.moves.ask_store()
             await self.moves.hand_over(now_ms)
             await self.moves.adopt_orphans(now_ms)
-        await self.takeover.forget_lost(now_ms)
+        if not self.is_restoring(now_ms):
+            await self.takeover.forget_lost(now_ms)
 
     async def _read_back(self) -> None:
         """Learns what became of a change whose answer was lost."""
--- a/tests/cover/test_platform_boundary.py
+++ b/tests/cover/test_platform_boundary.py
@@ -25,7 +25,7 @@
     r"|seq_num|app_address|route_kind|expected_rev\b|put_items|store_revision"
     r"|rule_set|weighted_services|target_latency|auburnrock-(attempt-id"
     r"|target-instance|caller-service|shard-key|response-seal"
-    r"|not-executed)|self_node|internal_port_range|retry_budget_ratio",
+    r"|not-executed)|self_node|internal_port_range|retry_budget_ratio|store-era",
     re.IGNORECASE,
 )
 BEAT = (
