--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -422,6 +422,47 @@
     assert await mesh_restores.until(lambda: all_held(fleet), 3.0)
 
 
+async def test_who_starts_in_an_era_grants_only_what_its_target_holds(fleet):
+    """The store's table gave it keys that a lost move had given to others,
+    and all who knew of the move had ended."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and len(host.node.ownership.record.record.witnesses) == 3
+            for host in fleet.hosts[:3]
+        )
+    )
+    copy_of(fleet)
+    moved = fleet.hosts[0].target
+    moved.state = "draining"
+    await fleet.until(lambda: not moved.holds and all_held(fleet), 5.0)
+    for host in fleet.hosts[1:3]:
+        # What they hold lapses before they hear of another table.
+        host.target.heartbeat_s = 4.0
+    # Their next heartbeat is on its way.
+    await asyncio.sleep(0.5)
+    for host in fleet.hosts:
+        await host.kill_node()
+    fleet.store.restore(5.0)
+    moved.state = "ready"
+    for host in fleet.hosts:
+        await host.start_node()
+    node = fleet.hosts[0].node
+    assert await mesh_restores.until(
+        lambda: (
+            node.holder.own_stripes()
+            and node.ownership.grants_until_ms() > node.now_ms()
+        ),
+        2.0,
+    )
+    await mesh_restores.until(lambda: oracle.faults, 1.0)
+    assert oracle.faults == []
+    assert not moved.holds
+
+
 async def test_a_node_taken_for_dead_serves_again_after_the_restore(fleet):
     """It found its record whole; its witnesses had sealed a later revision,
     and renewed it never again."""
