Do not take a heartbeat for another target while a connection opens

What callers would see: 503 (no_target), or a wait for the owner, for a request that opens a connection to its target just when that one's heartbeat comes. Cause: the executor compared the target by the object of its latest heartbeat, and each heartbeat is another one. The class: a changed record taken for an end. Change: the start of the target is compared.

--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -322,7 +322,7 @@
             return self._refused(
                 run, errors.ErrorKind.TARGET_REFUSED, 100.0, str(error)
             )
-        if self.target is not target:
+        if not self._is_current(target):
             self.client.give_back(connection)
             return self._refused(run, errors.ErrorKind.NO_TARGET, 100.0)
         now_ms = self.now_ms()
@@ -353,6 +353,13 @@
         self.client.give_back(connection)
         return self._judge(run, answer, now_ms)
 
+    def _is_current(self, target: model.Heartbeat) -> bool:
+        """Whether the target has not ended since, nor another one started."""
+        now = self.target
+        return now is not None and (
+            (now.target, now.started_ms) == (target.target, target.started_ms)
+        )
+
     def _judge(
         self, run: peering.Run, answer: http_client.Answer, sent_ms: float
     ) -> peering.Outcome:
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -607,3 +607,41 @@
     await _until_told(fleet, hub, 16)
     hub.on_closed(new)
     assert sent[-1] == outcome
+
+
+async def test_a_heartbeat_during_a_connect_is_no_other_target(
+    fleet, monkeypatch
+):
+    executor = fleet.hosts[2].node.executor
+    connect = executor.client.connect
+
+    async def connect_meanwhile(idle_max_ms):
+        connection = await connect(idle_max_ms)
+        executor.take_target(msgspec.structs.replace(executor.target))
+        return connection
+
+    monkeypatch.setattr(executor.client, "connect", connect_meanwhile)
+    named = [(b"auburnrock-attempt-id", b"at")]
+    run = msgspec.structs.replace(mesh.run(17), headers=named)
+    outcome = await executor.run(run)
+    assert isinstance(outcome, peering.Answered)
+
+
+async def test_a_target_that_starts_during_a_connect_gets_no_older_request(
+    fleet, monkeypatch
+):
+    executor = fleet.hosts[2].node.executor
+    connect = executor.client.connect
+    known = executor.target
+
+    async def connect_meanwhile(idle_max_ms):
+        connection = await connect(idle_max_ms)
+        later = known.started_ms + 1
+        executor.take_target(msgspec.structs.replace(known, started_ms=later))
+        return connection
+
+    monkeypatch.setattr(executor.client, "connect", connect_meanwhile)
+    outcome = await executor.run(mesh.run(18))
+    executor.take_target(known)
+    assert isinstance(outcome, peering.Refused)
+    assert not outcome.reached
