Do not end a process while callers' answers are still in it

What callers would see: after SIGTERM a connection that ends in the middle of an answer, where the caller reads slowly or its link is full. Cause: a request counted as answered once its answer was written to the transport, which keeps what the system does not take; the process then ended with it. Ruled out: that the record shows it: the caller's 502 was whole. Change: a connection with unsent bytes counts as busy, so that a stop waits for them within its grace time, as for a request. Tests: test_a_server_is_busy_until_its_answers_are_on_their_way failed 3 of 3 before and passes 3 of 3.

--- a/src/auburnrock/shells/mesh/http_server.py
+++ b/src/auburnrock/shells/mesh/http_server.py
@@ -306,6 +306,10 @@
         self.exchanges.clear()
         self.transport.close()
 
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer is still in this process."""
+        return self.transport.get_write_buffer_size() > 0
+
     def sweep(self, now_ms: float) -> None:
         """Ends the connection if it was idle or slow for too long."""
         bounds = self.server.bounds
@@ -370,8 +374,11 @@
                 connection.close()
 
     def busy(self) -> int:
-        """Requests that have no answer yet."""
-        return sum(len(connection.exchanges) for connection in self.connections)
+        """Requests whose answers are not on their way yet."""
+        return sum(
+            len(connection.exchanges) + connection.has_unsent()
+            for connection in self.connections
+        )
 
     def stop(self) -> None:
         """Takes no more connections."""
