Do not end a process while outcomes for other nodes are still in it

What callers would see: 502 from the node that they had asked, for a request that a stopping node had run to its end. Ruled out: that the record shows it: the node that stops had taken the request, and its target was elsewhere. Change: a connection of another node with unsent bytes counts as busy.

--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -98,6 +98,12 @@
         self.transport.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
         return True
 
+    def has_unsent(self) -> bool:
+        """Whether a part of a message is still in this process."""
+        if self.closed or self.transport is None:
+            return False
+        return self.transport.get_write_buffer_size() > 0
+
     def abort(self) -> None:
         """Ends the connection at once."""
         if self.transport is not None:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -480,8 +480,9 @@
             connection.send(peering.Bye())
 
     def busy(self) -> int:
-        """Requests of other nodes that have no outcome yet."""
-        return sum(1 for work in self.work.values() if work.outcome is None)
+        """Requests of other nodes whose outcomes are not on their way yet."""
+        running = sum(1 for work in self.work.values() if work.outcome is None)
+        return running + sum(each.has_unsent() for each in self.inbound)
 
     def alive(self) -> set[str]:
         """Members that are heard, here and by their neighbours."""
--- a/tests/common/mesh.py
+++ b/tests/common/mesh.py
@@ -168,6 +168,10 @@
         self.sent.append(message)
         return True
 
+    def has_unsent(self) -> bool:
+        """All that was sent is on its way."""
+        return False
+
 
 def connection(sent: list[peering.Message]) -> Connection:
     """A connection whose messages go to a list."""
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -10,6 +10,7 @@
 import pytest
 import pytest_asyncio
 
+from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import linking
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
@@ -645,3 +646,22 @@
     executor.take_target(known)
     assert isinstance(outcome, peering.Refused)
     assert not outcome.reached
+
+
+async def test_a_node_is_busy_until_its_outcomes_are_on_their_way(fleet):
+    """A process that ended before cut them off."""
+    asker, other = fleet.hosts[:2]
+    await fleet.until(asker.node.hub.links[other.ip].usable)
+    link = asker.node.hub.links[other.ip]
+    connection = next(
+        each
+        for each, inbound in other.node.hub.inbound.items()
+        if inbound.name == asker.ip
+    )
+    await fleet.until(lambda: not other.node.hub.busy())
+    link.connection.transport.pause_reading()
+    piece = peering.Answered(0, 200, [], bytes(16 << 20), choice.NO_TARGET, 0.0)
+    connection.send(piece)
+    assert other.node.hub.busy() == 1
+    link.connection.transport.resume_reading()
+    await fleet.until(lambda: not other.node.hub.busy())
