Restore the store from older copies in the soak

The soak plays seeds with one or two restores beside its other faults if asked for (./task soak FIRST LAST restores): copies 0.1 to 20 s old, away 0.1 to 5 s. A seed's other faults stay as they are.

--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -1,9 +1,10 @@
 """A randomized soak: real nodes as processes, faults from outside them.
 
-Usage: python -m tests.common.mesh_soak FIRST LAST
+Usage: python -m tests.common.mesh_soak FIRST LAST [restores]
 
-Plays the seeds from FIRST to LAST; ends with 1 if a promise broke. The folder
-of a broken seed keeps what the nodes wrote.
+Plays the seeds from FIRST to LAST, with restores of the store if asked for;
+ends with 1 if a promise broke. The folder of a broken seed keeps what the nodes
+wrote.
 
 One seed gives one schedule of faults. Nodes meet their store and target as
 stand-ins in this process; each node's way to the store is a link that can be
@@ -57,6 +58,7 @@
     Attributes:
       seed: of its schedule.
       program: arguments of `python` that start a node.
+      restores: whether the store is restored from older copies.
       broken: broken promises, in words.
       attempts: everything that callers sent.
       targets: every start of a target.
@@ -67,10 +69,12 @@
         seed: int,
         deployment: processes.Deployment,
         program: tuple[str, ...] = ("-m", "auburnrock.programs.mesh_node"),
+        restores: bool = False,
     ):
         self.seed = seed
         self.deployment = deployment
         self.program = list(program)
+        self.restores = restores
         self.chance = random.Random(seed)
         self.broken: list[str] = []
         self.attempts: list[Attempt] = []
@@ -101,7 +105,9 @@
                 for host in self.hosts
             ]
             async with asyncio.TaskGroup() as faults:
-                for fault in mesh_soak_faults.schedule(self.seed):
+                for fault in mesh_soak_faults.schedule(
+                    self.seed, self.restores
+                ):
                     faults.create_task(self.bring_about(fault))
             await self.until_served("after the last fault")
             for task in (*callers, *watchers):
@@ -192,6 +198,8 @@
                 await host.start_target()
         elif fault.kind == "lose_answers":
             host.target.behaviour.lose += 3
+        elif fault.kind == mesh_soak_faults.RESTORED:
+            await self.store.drill(fault.age_s, fault.for_s)
         elif fault.kind == "configure":
             self.version += 1
             self.configure()
@@ -353,21 +361,25 @@
 
 
 async def run(
-    seed: int, folder: pathlib.Path, program: tuple[str, ...] | None = None
+    seed: int,
+    folder: pathlib.Path,
+    program: tuple[str, ...] | None = None,
+    restores: bool = False,
 ) -> list[str]:
     """Runs one seed; returns the broken promises."""
     with processes.Deployment(folder) as deployment:
         options = {"program": program} if program else {}
-        return await Soak(seed, deployment, **options).run()
+        soak = Soak(seed, deployment, restores=restores, **options)
+        return await soak.run()
 
 
-def main(first: int, last: int) -> int:
+def main(first: int, last: int, restores: bool) -> int:
     """Plays seeds; prints a line for each."""
     code = 0
     for seed in range(first, last + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         began_s = time.monotonic()
-        broken = asyncio.run(run(seed, folder))
+        broken = asyncio.run(run(seed, folder, restores=restores))
         took_s = time.monotonic() - began_s
         print(f"seed={seed} took_s={took_s:.1f} broken={len(broken)}")
         for text in broken:
@@ -377,4 +389,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+    sys.exit(
+        main(int(sys.argv[1]), int(sys.argv[2]), "restores" in sys.argv[3:])
+    )
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -34,6 +34,16 @@
 )
 
 
+RESTORED = "store_restored"
+"""A fault that only schedules with restores have, beside those of KINDS."""
+
+AGES_S = (0.1, 1.0, 5.0, 20.0)
+"""Ages of the copies that the store is restored from."""
+
+AWAY_S = (0.1, 1.0, 5.0)
+"""For how long it is away then."""
+
+
 class Fault(msgspec.Struct, frozen=True):
     """One fault of a schedule.
 
@@ -42,16 +52,23 @@
       kind: one of KINDS.
       host: whom it meets, for those of one host.
       for_s: how long it lasts, for those that end.
+      age_s: of the copy, for a restore.
     """
 
     at_s: float
     kind: str
     host: int
     for_s: float
+    age_s: float = 0.0
 
 
-def schedule(seed: int) -> list[Fault]:
-    """The faults of a seed, in the order of their times."""
+def schedule(seed: int, restores: bool = False) -> list[Fault]:
+    """The faults of a seed, in the order of their times.
+
+    Args:
+      seed: of the schedule.
+      restores: whether the store is restored once or twice besides.
+    """
     chance = random.Random(seed)
     faults = []
     for _ in range(chance.randint(4, 9)):
@@ -66,6 +83,16 @@
             msgspec.structs.replace(fault, at_s=fault.at_s + 1.2 * again)
             for again in range(chance.choice((1, 1, 2, 3)))
         ]
+    for _ in range(chance.choice((1, 1, 2)) if restores else 0):
+        faults.append(
+            Fault(
+                chance.uniform(0.0, FAULTS_S),
+                RESTORED,
+                0,
+                chance.choice(AWAY_S),
+                chance.choice(AGES_S),
+            )
+        )
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
