Retire idle connections at a target's first silence

Cause: the owner retired the idle connections beside a silent one only after three usual times. By then the entry has sent the request again to another node (after one) and cancels it with the answer (after about two), which cancels the owner's timer as well. So the owner forgot the silence and gave its other silent connections to the next requests, one token of the retry budget each.

Ruled out, by reading and not by runs: retire_idle() at the usual time, since it works once a second and a request a little late uses that up; retiring on cancellation, which in the trace came within 1 ms of the callers' next requests.

Change: at the usual time the owner retires its idle connections if none of them has answered since the request left; one slow request beside answered ones retires nothing. The place is still taken back after three times.

Before: test_silence_that_the_entry_ends_costs_no_later_request fails (2 of 4 later requests lost). After: passes.

--- a/src/auburnrock/shells/executor.py
+++ b/src/auburnrock/shells/executor.py
@@ -291,22 +291,35 @@
         request: messages.Request,
         running: Running,
         target: targets_base.Target,
-    ) -> asyncio.TimerHandle | None:
-        """Takes the place back from an idempotent request that gets silent.
-
-        The entry may send it again to another node, which would wait for a
-        place that such a request has there, and so on in a circle.
+        fresh: bool,
+    ) -> list[asyncio.TimerHandle]:
+        """Acts on an idempotent request that gets silent.
+
+        Past the usual time the entry may send it again to another node, whose
+        answer ends this attempt: what its silence says of the idle connections
+        must be used by then. Later its place is taken back: the other node
+        would wait for a place that such a request has there, and so on in a
+        circle.
         """
         if not request.idempotent:
-            return None
+            return []
+        loop = asyncio.get_running_loop()
         silent_ms = self.answer_time.silent_after_ms()
-        return asyncio.get_running_loop().call_later(
-            connections.RETIRE_FACTOR * silent_ms / MILLISECONDS_PER_SECOND,
-            self._on_silence,
-            request.request_id,
-            running,
-            target,
-        )
+        silent_s = silent_ms / MILLISECONDS_PER_SECOND
+        timers = [
+            loop.call_later(
+                connections.RETIRE_FACTOR * silent_s,
+                self._on_silence,
+                request.request_id,
+                running,
+                target,
+            )
+        ]
+        if not fresh:
+            timers.append(
+                loop.call_later(silent_s, target.retire_if_silent, silent_ms)
+            )
+        return timers
 
     async def _run(
         self,
@@ -359,7 +372,7 @@
         # one.
         fresh = request.is_repeat or not request.idempotent
         sent_ms = clock.now_ms()
-        silence = self._watch_silence(request, running, target)
+        silence = self._watch_silence(request, running, target, fresh)
         place = (request.service, request.shard)
         self.counts[place] += 1
         self.meter.sent(clock.now_ms())
@@ -375,8 +388,8 @@
             self._cancel_at_target(target, request.request_id)
             raise
         finally:
-            if silence is not None:
-                silence.cancel()
+            for timer in silence:
+                timer.cancel()
             self.counts[place] -= 1
             self.meter.ended(clock.now_ms(), is_done)
             if not self.counts[place]:
--- a/src/auburnrock/targets/base.py
+++ b/src/auburnrock/targets/base.py
@@ -153,6 +153,13 @@
         Does nothing by default.
         """
 
+    def retire_if_silent(self, silent_ms: int) -> None:  # noqa: B027
+        """Uses no idle connection again if none has answered for a time.
+
+        To be called when a request that was sent `silent_ms` ago on a
+        connection used before has no answer. Does nothing by default.
+        """
+
     @abc.abstractmethod
     async def run(
         self, work: Work, fresh_connection: bool = False
--- a/src/auburnrock/targets/http.py
+++ b/src/auburnrock/targets/http.py
@@ -90,14 +90,21 @@
       session: the session.
       in_use: requests that have not ended.
       since_s: loop time at which it was made.
+      heard_s: loop time of the latest whole answer; None before the first,
+        when no connection is idle.
     """
 
-    __slots__ = ("in_use", "session", "since_s")
+    __slots__ = ("heard_s", "in_use", "session", "since_s")
 
     def __init__(self, connections: int):
         self.session = http_client.make_session(connections, IDLE_LIMIT_S)
         self.in_use = 0
         self.since_s = asyncio.get_running_loop().time()
+        self.heard_s: float | None = None
+
+    def hear(self) -> None:
+        """Notes a whole answer."""
+        self.heard_s = asyncio.get_running_loop().time()
 
 
 class HttpTarget(base.Target):
@@ -136,7 +143,12 @@
         pool = self.pool
         pool.in_use += 1
         try:
-            return await self._run_on(pool.session, work)
+            answer = await self._run_on(pool.session, work)
+            pool.hear()
+            return answer
+        except base.RefusedError:
+            pool.hear()
+            raise
         finally:
             pool.in_use -= 1
             if pool in self.retired and pool.in_use == 0:
@@ -153,6 +165,22 @@
         now_s = asyncio.get_running_loop().time()
         if now_s < self.pool.since_s + RETIRE_EVERY_S:
             return
+        self._retire_pool()
+
+    def retire_if_silent(self, silent_ms: int) -> None:
+        """See the base class.
+
+        As often as it happens: a pool that has answered nothing has no idle
+        connection, so a target that stays silent is given no more new ones.
+        """
+        pool = self.pool
+        if pool.heard_s is None or pool.in_use == 0:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if now_s - pool.heard_s >= silent_ms / _MILLISECONDS_PER_SECOND:
+            self._retire_pool()
+
+    def _retire_pool(self) -> None:
         self.retired.add(self.pool)
         self.pool = Pool(self.kept)
 
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import uuid_utils
 
 from auburnrock import errors
@@ -9,6 +11,9 @@
 from auburnrock.shells import logs
 from auburnrock.shells import target_slots
 from auburnrock.targets import base as targets_base
+from auburnrock_standins import processes
+from auburnrock_standins import target_switches
+from tests.common import standins
 
 SHARD = 3
 
@@ -103,6 +108,24 @@
     )
 
 
+def lookup(request_id: str) -> messages.Request:
+    return messages.Request(
+        0,
+        request_id,
+        "svc",
+        "GET",
+        "/sailings",
+        [],
+        b"",
+        "",
+        -1,
+        500,
+        True,
+        "",
+        "caller",
+    )
+
+
 async def test_a_repeat_waits_for_the_results_that_a_move_brings():
     key = str(uuid_utils.uuid7())
     former = make(Admission())
@@ -141,3 +164,27 @@
     answer = await make(admission).execute(request)
     assert answer.kind is errors.ErrorKind.MISSING_IDEMPOTENCY_KEY
     assert admission.the_target.runs == 0
+
+
+async def test_silence_that_the_entry_ends_costs_no_later_request():
+    """Its second attempt was answered by another node and ends the first."""
+    async with standins.target() as target:
+        admission = Admission()
+        admission.the_target = target.client
+        owner = make(admission)
+        await asyncio.gather(
+            *(owner.execute(lookup(f"r{n}")) for n in range(5))
+        )
+        await processes.switch(
+            target.address,
+            target_switches.TargetSwitches(silence_connections=True),
+        )
+        silent = asyncio.create_task(owner.execute(lookup("silent")))
+        usual_ms = owner.answer_time.silent_after_ms()
+        await asyncio.sleep(2 * usual_ms / executor.MILLISECONDS_PER_SECOND)
+        silent.cancel()
+        await asyncio.wait([silent])
+        later = await asyncio.gather(
+            *(owner.execute(lookup(f"later{n}")) for n in range(4))
+        )
+    assert [type(answer) for answer in later] == [messages.Response] * 4
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -309,6 +309,47 @@
     assert most == 20
 
 
+async def test_a_slow_request_beside_answered_ones_retires_no_connection():
+    """Its target would be given new connections for nothing."""
+    async with standins.target() as target:
+        late = target_switches.TargetSwitches(late_ms=300)
+        await processes.switch(target.address, late)
+        sent_ms = clock.now_ms()
+        slow = asyncio.create_task(target.client.run(standins.work("slow")))
+        while target.server.running or not target.server.executions:
+            await asyncio.sleep(0.01)
+        await processes.switch(target.address, target_switches.TargetSwitches())
+        await target.client.run(standins.work("r1"))
+        pool = target.client.pool
+        target.client.retire_if_silent(clock.now_ms() - sent_ms)
+        assert target.client.pool is pool
+        await slow
+
+
+async def test_connections_that_all_say_nothing_are_retired_at_once():
+    """The last retirement may have been a moment ago."""
+    async with standins.target() as target:
+        client = target.client
+        for number in range(3):
+            await client.run(standins.work(f"r{number}"))
+            pool = client.pool
+            await processes.switch(
+                target.address,
+                target_switches.TargetSwitches(silence_connections=True),
+            )
+            silent = standins.work(f"silent{number}", deadline_ms=100)
+            waits = asyncio.create_task(client.run(silent))
+            await asyncio.sleep(0.02)
+            client.retire_if_silent(20)
+            assert client.pool is not pool
+            client.retire_if_silent(0)
+            assert client.pool.heard_s is None
+            assert client.retired == {pool}
+            with pytest.raises(base.LostError):
+                await waits
+            assert not client.retired
+
+
 async def test_retired_idle_connections_are_not_used_again():
     async with standins.target() as target:
         await asyncio.gather(
