Wait for the restarted daemon's target before the others are let on

Seen: known red; after the thaw 8 shards of the restarted daemon, all that it had, were given to others instead of its new incarnation.

Cause: restart_before_a_takeover waited for the successor's record, not for the target in it. Shards go only to nodes with a target (page_change.reassign). The lease is long over at the thaw, so the others end the former incarnation at once.

Ruled out: silence that a thawed node measures over its own stand-still. The former daemon was killed; ending it is right however silence is measured.

The assertion is the same.

Open for the product: an ACTIVE successor whose target is not announced yet loses its shards at once; nothing gives it a moment's grace.

--- a/tests/common/failures.py
+++ b/tests/common/failures.py
@@ -107,8 +107,9 @@
 ) -> None:
     """Kills a daemon and starts it again while the others stand still.
 
-    How long a process takes to start on a busy machine so does not decide
-    whether the others have taken its shards by then.
+    How long a process takes to start on a busy machine, and to hear of its
+    target, so does not decide whether the others have taken its shards by then:
+    they give none to a node without a target.
     """
     former = trial.incarnation(host)
     others = [
@@ -120,7 +121,9 @@
     await trial.restart(host)
     async with asyncio.timeout(SERVED_LIMIT_S):
         while not any(
-            node.name == host.spec.name and node.incarnation > former
+            node.name == host.spec.name
+            and node.incarnation > former
+            and node.target_incarnation
             for node in await trial.nodes()
         ):
             await asyncio.sleep(INTERVAL_S)
