--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -22,7 +22,12 @@
 from auburnrock.shells.mesh import link as link_module
 
 RESULT_KEPT_S = 3.0
-"""Results wait so long for a connection to be made anew."""
+"""Results wait so long for a connection to be made anew, or until their
+requests are not sent again."""
+
+RESENT_MS = 100.0
+"""Longer than a request is sent again after its deadline
+(dispatcher.OVERTIME_MS)."""
 
 CANCEL_KEPT_S = 3.0
 """Longer than bytes wait on an ended connection (frames.USER_TIMEOUT_MS)."""
@@ -62,16 +67,33 @@
       connection: where its outcome goes.
       run: the request.
       sent: whether the target may have begun to run it.
+      orphaned: whether it was broken off because its node had not come back.
+      resent_until_ms: when its node has given it up.
       task: runs it; None once it has an outcome.
       outcome: its outcome; None before.
     """
 
-    __slots__ = ("connection", "outcome", "run", "sent", "task")
+    __slots__ = (
+        "connection",
+        "orphaned",
+        "outcome",
+        "resent_until_ms",
+        "run",
+        "sent",
+        "task",
+    )
 
-    def __init__(self, connection: frames.FrameConnection, run: peering.Run):
+    def __init__(
+        self,
+        connection: frames.FrameConnection,
+        run: peering.Run,
+        resent_until_ms: float,
+    ):
         self.connection = connection
         self.run = run
+        self.resent_until_ms = resent_until_ms
         self.sent = False
+        self.orphaned = False
         self.task: asyncio.Task | None = None
         self.outcome: peering.Outcome | None = None
 
@@ -604,7 +626,7 @@
         left to it until the last look, unless it cannot be reached.
         """
         link = self.links.get(asker)
-        is_lost = link is None or link.watch.is_lost()
+        is_lost = link is not None and link.watch.is_lost()
         for work in list(self.work.values()):
             if work.connection is not connection or work.task is None:
                 continue
@@ -616,8 +638,7 @@
                     asker=asker,
                     sent=work.sent,
                 )
-                if work.run.idempotent and not work.sent:
-                    work.outcome = link_module.unreachable(work.run.number)
+                work.orphaned = True
                 work.task.cancel()
 
     def on_run(
@@ -638,7 +659,7 @@
             if work.outcome is not None:
                 connection.send(work.outcome)
             return
-        work = Work(connection, run)
+        work = Work(connection, run, self.now_ms() + run.left_ms + RESENT_MS)
         self.work[mark] = work
         late_ms = self.on_the_way_ms(origin, run.sent_ms)
         run = msgspec.structs.replace(
@@ -708,13 +729,21 @@
         """Sends the outcome, also of work cancelled before it began."""
         work.task = None
         if work.outcome is None:
-            work.outcome = peering.Lost(
-                number,
-                errors.ErrorKind.OUTCOME_UNKNOWN.value,
-                choice.NO_TARGET,
-            )
+            # What must not be broken off may be sent at any later moment.
+            ended_unsent = work.run.idempotent and not work.sent
+            if work.orphaned and ended_unsent:
+                work.outcome = link_module.unreachable(number)
+            else:
+                work.outcome = peering.Lost(
+                    number,
+                    errors.ErrorKind.OUTCOME_UNKNOWN.value,
+                    choice.NO_TARGET,
+                )
         work.connection.send(work.outcome)
-        self.loop.call_later(RESULT_KEPT_S, self.work.pop, mark, None)
+        kept_s = (work.resent_until_ms - self.now_ms()) / 1_000
+        self.loop.call_later(
+            max(RESULT_KEPT_S, kept_s), self.work.pop, mark, None
+        )
 
     def stop(self) -> None:
         """Ends all connections."""
