Give the model of neighbours one schedule for a seed

Cause: the model iterated over sets of names, so the order of sends, and with it which messages were lost, followed the hash seed of the process. Ruled out: load; it is virtual time. Change: neighbours in the order of their names. Bound and seeds stay as they are. After: one verdict for a seed.

--- a/tests/common/mesh_neighbours.py
+++ b/tests/common/mesh_neighbours.py
@@ -29,7 +29,8 @@
         self.name = name
         self.directory = membership.Directory(name, 1_000_000)
         self.directory.set_members(known)
-        self.neighbours = membership.neighbours(name, known)
+        # In one order, so that a seed gives one schedule in every process.
+        self.neighbours = sorted(membership.neighbours(name, known))
         self.spread = spreading.Spread()
         self.items: dict[str, int] = {}
         self.pending: dict[str, dict[str, membership.Entry]] = {
