Compare directories in both directions

A comparison told only the node that was pinged: the other one sent its entries, also where they were the older ones, and was told nothing. So only pings towards the node could mend it. Change: who is told an older entry than it knows tells the later one back, with the news of the next tick; one message more, only where a comparison found so. Tests, both failing before: test_a_comparison_tells_both_nodes_what_they_have_ missed, test_a_neighbour_that_tells_what_is_old_hears_what_is_new.

--- a/src/auburnrock/engine/mesh/membership.py
+++ b/src/auburnrock/engine/mesh/membership.py
@@ -238,6 +238,17 @@
             if entry.name in self.members and bucket_of(entry.name) in places
         ]
 
+    def later_than(self, entries: Iterable[Entry]) -> list[Entry]:
+        """Of the nodes told of, those entries that are later here."""
+        later = []
+        for entry in entries:
+            known = self.entries.get(entry.name)
+            if entry.name == self.own.name:
+                known = self.own
+            if known is not None and known.rank() > entry.rank():
+                later.append(known)
+        return later
+
     def _put(self, now_ms: float, entry: Entry) -> None:
         self.entries[entry.name] = entry
         if entry.silent:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -411,7 +411,11 @@
     def take_differing(
         self, giver: str, entries: list[membership.Entry]
     ) -> None:
-        """Takes entries that were missed here."""
+        """Takes entries that were missed here, and tells those missed there."""
+        link = self.links.get(giver)
+        if link is not None and giver in self.neighbours:
+            for entry in self.directory.later_than(entries):
+                link.news[entry.name] = entry
         news = self.directory.take(self.now_ms(), entries)
         self.spread(self.directory.missed_by_others(news), giver)
         if news:
--- a/tests/common/mesh_neighbours.py
+++ b/tests/common/mesh_neighbours.py
@@ -147,7 +147,10 @@
     def take_missed(
         self, peer: Peer, giver: str, entries: list[membership.Entry]
     ) -> None:
-        """Takes what was missed."""
+        """Takes what was missed, and tells what the giver has missed."""
+        later = peer.directory.later_than(entries)
+        if later:
+            peer.pending[giver].update({entry.name: entry for entry in later})
         news = peer.directory.take(self.now_ms, entries)
         self.tell(peer, peer.directory.missed_by_others(news), giver)
 
--- a/tests/cover/test_mesh_membership.py
+++ b/tests/cover/test_mesh_membership.py
@@ -90,6 +90,21 @@
     assert fleet.time_until(is_told) < 5_000.0
 
 
+def test_a_comparison_tells_both_nodes_what_they_have_missed():
+    fleet = mesh_neighbours.Fleet(30, 0)
+    fleet.start_all()
+    asker = fleet.peers["10.0.0.0"]
+    other = fleet.peers[asker.neighbours[0]]
+    entry = msgspec.structs.replace(asker.directory.own, slots=9)
+    missed_by_other = asker.directory.tell_own(entry)
+    entry = msgspec.structs.replace(other.directory.own, slots=8)
+    missed_by_asker = other.directory.tell_own(entry)
+    fleet.take_ping(other, asker.name, asker.directory.sum())
+    fleet.run(2 * mesh_neighbours.TICK_MS)
+    assert other.directory.entries[asker.name] == missed_by_other
+    assert asker.directory.entries[other.name] == missed_by_asker
+
+
 def test_a_silent_node_is_known_to_all_until_it_contradicts():
     fleet = mesh_neighbours.Fleet(194, 4)
     fleet.start_all()
--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -1,5 +1,6 @@
 """What readers of the store tell the other nodes."""
 
+import msgspec
 import pytest_asyncio
 
 from auburnrock.engine.mesh import peering
@@ -96,6 +97,16 @@
     await fleet.until(lambda: joined.ip in last.hub.members, 3.0)
 
 
+async def test_a_neighbour_that_tells_what_is_old_hears_what_is_new(fleet):
+    hub = fleet.hosts[0].node.hub
+    giver, other = (host.ip for host in fleet.hosts[1:3])
+    known = hub.directory.entries[other]
+    older = msgspec.structs.replace(known, version=known.version - 1)
+    hub.take_differing(giver, [older])
+    assert hub.links[giver].news[other] == known
+    assert hub.directory.entries[other] == known
+
+
 async def test_a_node_whose_lease_is_lost_reads_its_record(fleet):
     """Readers may be unable to tell it that others have taken its keys."""
     last = fleet.hosts[3].node
