Deal lost keys anew only when no grant of the lost deal is left

What callers would see: after a restore from a copy older than the first deal, with all processes that knew the deal ended, two targets hold a key, by one token. Cause: a deal took any store without a table for that of a first start; the version and the tokens of the new table began at 1 again. Ruled out: that settling covers it: there is no table to settle. Change: where the settings do not say that the whole system starts for the first time, or a restore was heard of, a deal waits for a lost table to be written again and then a term, and its tokens are above all those of earlier eras. Test: test_a_lost_first_deal_that_nobody_knows_leaves_one_owner.

--- a/src/auburnrock/engine/mesh/model.py
+++ b/src/auburnrock/engine/mesh/model.py
@@ -260,6 +260,8 @@
       memory_bytes: memory that this process may use.
       link_mbps: speed of this host's link; 0 if unknown.
       bounds: promises of the deployment.
+      is_first_start: whether the whole system starts for the first time, so
+        that no target holds keys of an earlier one.
     """
 
     host: str
@@ -278,6 +280,7 @@
     memory_bytes: int
     link_mbps: float
     bounds: Bounds
+    is_first_start: bool = False
 
 
 class RequestHead(msgspec.Struct, frozen=True):
--- a/src/auburnrock/engine/mesh/plan.py
+++ b/src/auburnrock/engine/mesh/plan.py
@@ -26,11 +26,13 @@
 targets each has a stripe too many, and would write the table for that one."""
 
 
-def first_table(weights: dict[model.Life, float]) -> table_module.KeyTable:
+def first_table(
+    weights: dict[model.Life, float], version: int = 1
+) -> table_module.KeyTable:
     """The table that deals all keys when nothing is owned yet."""
     owners = deal(weights)
     run = table_module.stripes_in_run(len(owners))
-    return table_module.first_table(owners, run)
+    return table_module.first_table(owners, run, version)
 
 
 def deal(weights: dict[model.Life, float]) -> list[model.Life]:
--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -76,6 +76,10 @@
         """Orders versions of one table."""
         return self.era, self.version
 
+    def is_dealt(self) -> bool:
+        """Whether it deals all keys anew, and is no change of another."""
+        return all(stripe.fence == self.version for stripe in self.stripes)
+
     def span(self, index: int) -> tuple[int, int]:
         """First and last key of a stripe."""
         count = len(self.stripes)
@@ -177,6 +181,14 @@
     )
 
 
+def version_of_deal(is_first_start: bool, era: int) -> int:
+    """Version of a table that is dealt when the store has none.
+
+    Where it may have lost one, it is above every version of the eras before.
+    """
+    return 1 if is_first_start else (era + 1) * ERA_STEP + 1
+
+
 def settled(table: KeyTable, era: int) -> KeyTable:
     """The same ownership in a later era of the store."""
     return msgspec.structs.replace(
@@ -208,17 +220,20 @@
     )
 
 
-def first_table(owners: list[model.Life], run: int = 1) -> KeyTable:
-    """The table that deals all keys for the first time.
+def first_table(
+    owners: list[model.Life], run: int = 1, version: int = 1
+) -> KeyTable:
+    """The table that deals all keys when there is none.
 
     Args:
       owners: the owner of each run.
       run: stripes of a run.
+      version: of the table, and the token of all its grants.
     """
     lives = tuple(dict.fromkeys(owners))
-    stripes = {life: Stripe(place, 1) for place, life in enumerate(lives)}
+    stripes = {life: Stripe(place, version) for place, life in enumerate(lives)}
     dealt = tuple(stripes[owner] for owner in owners for _ in range(run))
-    return KeyTable(1, lives, dealt, run)
+    return KeyTable(version, lives, dealt, run)
 
 
 def changed(
--- a/src/auburnrock/platform/settings.py
+++ b/src/auburnrock/platform/settings.py
@@ -27,6 +27,8 @@
     # Where the target beside this process takes requests.
     app_address: str
     service: str
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 class _Listen(msgspec.Struct):
@@ -112,4 +114,5 @@
             retry_extra=bounds.retry_extra,
             retry_window_ms=forms.milliseconds(bounds.budget_window),
         ),
+        is_first_start=own.bootstrap,
     )
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -261,6 +261,9 @@
             or now_ms - self.started_ms < parts_module.SETTLE_MS
         ):
             return
+        is_first_start = self._is_first_start()
+        if not is_first_start and not self._may_deal_again(now_ms):
+            return
         weights = self._weights()
         expected = {
             name
@@ -279,8 +282,10 @@
             await self.parts.read_back()
             self.listed_ms = self.now_ms()
             return
+        era = self.store.era
+        version = table_module.version_of_deal(is_first_start, era)
         table = msgspec.structs.replace(
-            plan.first_table(weights), era=self.store.era
+            plan.first_table(weights, version), era=era
         )
         # The records of all would not fit one change. So each owner reads its
         # own before it grants anything, and adopt_orphans sees to the keys of
@@ -288,6 +293,20 @@
         conditions = set(sorted(present)[:RECIPIENTS_MAX])
         await self._write_table(table, 0, conditions, "deal")
 
+    def _is_first_start(self) -> bool:
+        """Whether no target can hold keys of a table that the store lost."""
+        return self.settings.is_first_start and self.parts.era_ms < 0.0
+
+    def _may_deal_again(self, now_ms: float) -> bool:
+        """Whether all grants by a table that the store lost have lapsed.
+
+        Who knows such a table writes it again; the others' leases have ended a
+        term after the witnesses heard of the restore, and their grants too.
+        """
+        since_ms = max(self.started_ms, self.parts.era_ms)
+        wait_ms = self.lease.term_ms * holder_module.SLOW_CLOCK
+        return now_ms - since_ms >= parts_module.PUT_BACK_MS + wait_ms
+
     async def hand_over(self, now_ms: float) -> None:
         """Gives away the keys that the target no longer holds."""
         known = self.view.tables.get(self.settings.service)
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -165,7 +165,7 @@
             if known is None or not self.is_unsettled(service):
                 # Who starts in an era cannot know what was lost before it.
                 self.holder.reported_only = self.is_unsettled(service)
-            if table.version == 1 and not is_same:
+            if table.is_dealt() and not is_same:
                 self.record.is_confirmed = False
             self.holder.take_table(table)
             self.log.write(
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -117,6 +117,7 @@
         self.node: node_module.Node | None = None
         self.target: mesh_target.MeshTarget | None = None
         self.starts = 0
+        self.node_starts = 0
 
     def settings(self) -> model.Settings:
         """What its node learns at the start."""
@@ -139,10 +140,12 @@
             bounds=model.Bounds(
                 2_000.0, 6_000.0, 2_000.0, 10_000.0, 0.2, 60.0, 10_000.0
             ),
+            is_first_start=self.node_starts <= 1,
         )
 
     async def start_node(self) -> None:
         """Starts the node."""
+        self.node_starts += 1
         self.node = node_module.Node(
             self.settings(),
             platform_dialect.PlatformDialect(),
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -463,6 +463,32 @@
     assert not moved.holds
 
 
+async def test_a_lost_first_deal_that_nobody_knows_leaves_one_owner(fleet):
+    """Targets held keys by it when the keys were dealt anew, and the tokens
+    were given out again."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    # It is given more than before when the keys are dealt anew.
+    fleet.hosts[0].target.slots *= 3
+    keys = -(-model.KEYS // mesh_grants.STRIPE_KEYS)
+    await fleet.until(lambda: len(oracle.fences) == keys)
+    for host in fleet.hosts:
+        await host.kill_node()
+    # The copy is older than the deal.
+    fleet.store.apply([], [TABLE])
+    fleet.store.writes.clear()
+    copy_of(fleet)
+    fleet.store.restore(5.0)
+    for host in fleet.hosts:
+        await host.start_node()
+    await fleet.until(
+        lambda: oracle.faults or (tables_written(fleet) and all_held(fleet))
+    )
+    await mesh_restores.until(lambda: oracle.faults, 1.0)
+    assert oracle.faults == []
+
+
 async def test_a_node_taken_for_dead_serves_again_after_the_restore(fleet):
     """It found its record whole; its witnesses had sealed a later revision,
     and renewed it never again."""
--- a/tests/cover/test_platform_settings.py
+++ b/tests/cover/test_platform_settings.py
@@ -55,3 +55,13 @@
 def test_a_missing_address_is_refused_by_its_name(path):
     with pytest.raises(ValueError, match=path[-1]):
         decode(platform_settings.without(path))
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_a_first_start_of_the_whole_system_is_told_from_others(is_first):
+    changed = platform_settings.with_value(("self_node", "bootstrap"), is_first)
+    assert decode(changed).is_first_start is is_first
+
+
+def test_a_start_is_no_first_one_unless_the_settings_say_so():
+    assert not decode(platform_settings.SETTINGS).is_first_start
