Do not take a node that connects late for one that has ended

Cause: when a connection to an asker ends, work at the target is left to it for 1.5 s unless the asker 'cannot be reached'; an attempt to connect that was not answered within 0.6 s counted as that. A full link holds up the asker's pongs and the other node's attempts to connect to it alike, so the work was broken off after 0.35 s as before. The class: what one node does not hear is taken for gone. Change: only a refused connection shows that the asker's process has ended. The price: work for a host without power goes on for 1.5 s, where it was 0.35 s once the host had been found unreachable. Tests: test_work_goes_on_for_a_node_that_does_not_connect_in_time failed 3 of 3 before (work_orphaned sent=True) and passes 3 of 3 with all of its file (49); test_only_a_refused_attempt_shows_that_a_process_has_ended covers the rule and needs the new call. Conclusion: mended for askers that are back within 1.5 s.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -67,6 +67,7 @@
       unanswered_ms: when the first ping without an answer went, or a part of an
         answer came since; 0 for none.
       failures: attempts to connect that failed in a row.
+      refused: whether nobody listened at the last of them.
       retry_at_ms: no attempt before.
     """
 
@@ -78,6 +79,7 @@
         "failures",
         "ping_ms",
         "pinged_ms",
+        "refused",
         "retry_at_ms",
         "unanswered_ms",
         "used_ms",
@@ -95,6 +97,7 @@
         self.pinged_ms = -math.inf
         self.unanswered_ms = 0.0
         self.failures = 0
+        self.refused = False
         self.retry_at_ms = 0.0
 
     def step(self, now_ms: float) -> Step:
@@ -145,6 +148,13 @@
         """Whether the last attempt has failed: no request should wait."""
         return not self.connected and self.failures > 0
 
+    def is_gone(self) -> bool:
+        """Whether the other process has ended.
+
+        One that does not answer in time may be behind a full link.
+        """
+        return self.is_lost() and self.refused
+
     def interval_ms(self) -> float:
         """Time between pings now."""
         if self.waiting > 0:
@@ -156,13 +166,15 @@
         self.connecting = False
         self.connected = True
         self.failures = 0
+        self.refused = False
         self.unanswered_ms = 0.0
         self.pinged_ms = -math.inf
 
-    def on_failed(self, now_ms: float) -> None:
+    def on_failed(self, now_ms: float, refused: bool = False) -> None:
         """An attempt to connect has failed."""
         self.connecting = False
         self.failures += 1
+        self.refused = refused
         pause_ms = min(RETRY_MAX_MS, RETRY_MS * 1.5 ** (self.failures - 1))
         self.retry_at_ms = now_ms + pause_ms
 
--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -186,7 +186,7 @@
                     peer=self.member.name,
                     reason=str(error),
                 )
-            self.watch.on_failed(self.owner.now_ms())
+            self.watch.on_failed(self.owner.now_ms(), refused)
             self.was_heard = False
             if refused:
                 self.lose_all(errors.ErrorKind.OUTCOME_UNKNOWN)
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -36,7 +36,7 @@
 """Work of a node that does not come back is cancelled after this."""
 
 IDEMPOTENT_ORPHAN_S = 0.35
-"""The same for idempotent work that waits, or whose node cannot be reached."""
+"""The same for idempotent work that waits, or whose node has ended."""
 
 OFFSET_DRIFT_MS = 0.05
 """Clocks of two hosts drift apart by less than this between two pings."""
@@ -628,14 +628,14 @@
         """Ends the work of a node that has not come back for it.
 
         Its connection may have been silent only: what the target works at is
-        left to it until the last look, unless it cannot be reached.
+        left to it until the last look, unless its process has ended.
         """
         link = self.links.get(asker)
-        is_lost = link is not None and link.watch.is_lost()
+        is_gone = link is not None and link.watch.is_gone()
         for work in list(self.work.values()):
             if work.connection is not connection or work.task is None:
                 continue
-            is_due = work.run.idempotent and (is_lost or not work.sent)
+            is_due = work.run.idempotent and (is_gone or not work.sent)
             if is_last or is_due:
                 self.log.write(
                     "work_orphaned",
--- a/tests/cover/test_mesh_linking.py
+++ b/tests/cover/test_mesh_linking.py
@@ -123,3 +123,16 @@
     watch = linking.Watch(0.0)
     watch.connecting = True
     assert watch.due_ms(7.0) == 7.0
+
+
+def test_only_a_refused_attempt_shows_that_a_process_has_ended():
+    watch = linking.Watch(0.0)
+    watch.on_failed(600.0)
+    assert watch.is_lost()
+    assert not watch.is_gone()
+    watch.on_failed(700.0, refused=True)
+    assert watch.is_gone()
+    watch.on_opened()
+    assert not watch.is_gone()
+    watch.on_lost(800.0)
+    assert not watch.is_gone()
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -632,6 +632,39 @@
     assert sent[-1] == outcome
 
 
+async def test_work_goes_on_for_a_node_that_does_not_connect_in_time(
+    fleet, monkeypatch
+):
+    """Packets of both directions wait at its full link."""
+    host, other = fleet.hosts[:2]
+    hub = host.node.hub
+    link = hub.links[other.ip]
+    outcome = link_module.unreachable(19)
+
+    async def run_for_a_while(run, note_sent):
+        note_sent()
+        await asyncio.sleep(0.1)
+        return outcome
+
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    monkeypatch.setattr(hub, "execute", run_for_a_while)
+    with monkeypatch.context() as patch:
+        patch.setattr(link_module, "CONNECT_TIMEOUT_S", 0.0)
+        link.drop_connection()
+        await fleet.until(link.watch.is_lost)
+        old, _ = _inbound(hub, other.ip)
+        hub.on_message(old, mesh.run(19))
+        await asyncio.sleep(0.01)
+        hub.on_closed(old)
+        await asyncio.sleep(0.05)
+    new, sent = _inbound(hub, other.ip)
+    hub.on_message(new, mesh.run(19))
+    await fleet.until(lambda: hub.work[other.ip, "start", 19].task is None)
+    hub.on_closed(new)
+    await fleet.until(link.usable)
+    assert sent[-1] == outcome
+
+
 async def test_a_heartbeat_during_a_connect_is_no_other_target(
     fleet, monkeypatch
 ):
