Cancel again what was cancelled on a connection that went silent

Cause: a cancel was kept for the next connection only if there was no connection when the caller left. In the 0.9 s until a silence is noticed there is one, and the cancel waits on it behind the full link and is dropped with it. The class: what was sent is taken for heard. Change: a link keeps the numbers that it has cancelled until the other node says how they ended or their time is over, and cancels them again on the next connection, for which they are a reason. Both lists have the limit there was.

--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -106,8 +106,10 @@
       leaving: whether the other process has said that it ends.
       retired: whether the other node's record is gone or has another address.
       waiting: requests without an outcome, by number.
-      abandoned: numbers of requests that nobody waits for any more, which the
-        other node has not been told; the values say nothing.
+      abandoned: when requests are over that nobody waits for any more, which
+        the other node has not been told, by number.
+      cancelled: the same for those that it was told on this connection and has
+        not confirmed.
       questions: questions without an answer, by what they ask.
       due_ms: when the next step is due.
       news: entries to tell the other node soon, by name.
@@ -125,7 +127,8 @@
         self.retired = False
         self.was_heard = False
         self.waiting: dict[int, Waiting] = {}
-        self.abandoned: dict[int, None] = {}
+        self.abandoned: dict[int, float] = {}
+        self.cancelled: dict[int, float] = {}
         self.questions: dict[tuple, list[asyncio.Future]] = {}
         self.news: dict[str, membership.Entry] = {}
         self.due_ms = 0.0
@@ -223,10 +226,7 @@
                 reason=connection.rejected,
             )
         if connection is self.connection:
-            self.connection = None
-            self.leaving = False
-            self.watch.on_lost(self.owner.now_ms())
-            self.due_ms = 0.0
+            self.forget_connection()
             if self.waiting:
                 self.step()
 
@@ -234,12 +234,22 @@
         """Ends the connection; another may be opened."""
         if self.connection is not None:
             connection = self.connection
-            self.connection = None
-            self.leaving = False
-            self.watch.on_lost(self.owner.now_ms())
-            self.due_ms = 0.0
+            self.forget_connection()
             connection.abort()
 
+    def forget_connection(self) -> None:
+        """The connection is no more; what was sent on it may not arrive."""
+        now_ms = self.owner.now_ms()
+        self.connection = None
+        self.leaving = False
+        self.watch.on_lost(now_ms)
+        self.due_ms = 0.0
+        for number, over_ms in self.cancelled.items():
+            if over_ms > now_ms:
+                _note(self.abandoned, number, over_ms)
+                self.watch.asked = True
+        self.cancelled.clear()
+
     def on_message(
         self, connection: frames.FrameConnection, message: peering.Message
     ) -> None:
@@ -253,6 +263,7 @@
         if isinstance(message, peering.Hello):
             self.on_hello(message)
         elif isinstance(message, peering.Outcome):
+            self.cancelled.pop(message.number, None)
             entry = self.waiting.pop(message.number, None)
             if entry is not None and not entry.future.done():
                 entry.future.set_result(message)
@@ -282,8 +293,8 @@
         self.greeted = True
         if hello.asks_for_snapshot:
             self.connection.send(self.owner.snapshot_for(hello))
-        for number in self.abandoned:
-            self.connection.send(peering.Cancel(number))
+        for number, over_ms in self.abandoned.items():
+            self.cancel(number, over_ms)
         self.abandoned.clear()
         for entry in self.waiting.values():
             self.send_run(entry)
@@ -312,19 +323,24 @@
         for number, entry in list(self.waiting.items()):
             if entry.sent and self.owner.leaves(entry.run):
                 del self.waiting[number]
-                self.abandon(number)
+                self.abandon(entry)
                 _settle(entry, _lost(number, errors.ErrorKind.PEER_UNREACHABLE))
 
-    def abandon(self, number: int) -> None:
+    def abandon(self, entry: Waiting) -> None:
         """Ends a request at the other node, now or when it is back."""
+        number = entry.run.number
+        over_ms = entry.since_ms + entry.run.left_ms
         if self.connection is not None and self.greeted:
-            self.connection.send(peering.Cancel(number))
+            self.cancel(number, over_ms)
             return
-        self.abandoned[number] = None
+        _note(self.abandoned, number, over_ms)
         self.watch.asked = True
         self.due_ms = 0.0
-        if len(self.abandoned) > ABANDONED_MAX:
-            del self.abandoned[next(iter(self.abandoned))]
+
+    def cancel(self, number: int, over_ms: float) -> None:
+        """Tells the other node that nobody waits for a request."""
+        self.connection.send(peering.Cancel(number))
+        _note(self.cancelled, number, over_ms)
 
     def lose_sent(self, kind: errors.ErrorKind) -> None:
         """The process that had these requests is gone."""
@@ -371,7 +387,7 @@
             return await entry.future
         except asyncio.CancelledError:
             if self.waiting.pop(run.number, None) and entry.sent:
-                self.abandon(run.number)
+                self.abandon(entry)
             raise
         finally:
             self.watch.used_ms = self.owner.now_ms()
@@ -449,6 +465,13 @@
     )
 
 
+def _note(numbers: dict[int, float], number: int, over_ms: float) -> None:
+    """Keeps a request's number, and forgets the oldest beyond the limit."""
+    numbers[number] = over_ms
+    if len(numbers) > ABANDONED_MAX:
+        del numbers[next(iter(numbers))]
+
+
 def _lost(number: int, kind: errors.ErrorKind) -> peering.Lost:
     return peering.Lost(number, kind.value, choice.NO_TARGET)
 
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -349,6 +349,25 @@
     assert not link.abandoned
 
 
+async def test_a_caller_that_left_before_a_silence_was_noticed_ends_the_work(
+    fleet, monkeypatch
+):
+    """The cancel was lost with the connection that it had been sent on."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 5.0
+    link = asker.node.hub.links[owner.ip]
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    monkeypatch.setattr(link.connection, "send", lambda message: True)
+    asking.cancel()
+    await fleet.until(lambda: not link.waiting)
+    link.drop_connection()
+    room = owner.node.executor.room
+    await fleet.until(lambda: not room.running, peers.ORPHAN_S / 2)
+
+
 async def test_work_that_waits_does_not_begin_after_its_node_was_lost(
     fleet, monkeypatch
 ):
