Do not send a request again whose time is over

What callers would see: 503 ('not run') for a request that must not run twice and has run, where its node was suspended for over 3 s and its connections ended. Cause: a request is sent again on a new connection with what is left of its time, also if nothing is. The other node has forgotten a result 3 s after it, or once the time of its request is over; it then took the request for a new one and declined it as late, which says 'not run'. The asker's timers stand still in a suspension while the clock that it counts a request's time by does not, so its own time-out comes later than that. Ruled out: that it runs twice so: the clock of both ends counts a suspension, and what is late is declined. That it happens without one: the asker's time-out is then due before its connection can be made anew. Change: what was sent and is overdue when the other node is back has an unknown outcome, and is not sent again.

--- a/src/auburnrock/shells/mesh/link.py
+++ b/src/auburnrock/shells/mesh/link.py
@@ -296,9 +296,23 @@
         for number, over_ms in self.abandoned.items():
             self.cancel(number, over_ms)
         self.abandoned.clear()
+        self.lose_overdue()
         for entry in self.waiting.values():
             self.send_run(entry)
 
+    def lose_overdue(self) -> None:
+        """Gives up what was sent and whose time is over.
+
+        The other process may have forgotten that it has run it, and would
+        decline it as late.
+        """
+        now_ms = self.owner.now_ms()
+        for number, entry in list(self.waiting.items()):
+            if entry.sent and now_ms - entry.since_ms >= entry.run.left_ms:
+                del self.waiting[number]
+                kind = errors.ErrorKind.DEADLINE_EXCEEDED
+                _settle(entry, _lost(number, kind))
+
     def send_run(self, entry: Waiting) -> None:
         """Sends a request with the time that it has left now."""
         now_ms = self.owner.now_ms()
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -600,6 +600,30 @@
     await fleet.until(lambda: ("x", "start", 14) not in hub.work, 1.0)
 
 
+async def test_a_request_that_ran_is_not_told_as_not_run_after_a_suspension(
+    fleet, monkeypatch
+):
+    """The node that has run it no longer knows it, and declines it as late."""
+    asker, other = fleet.hosts[:3:2]
+    link = asker.node.hub.links[other.ip]
+    monkeypatch.setattr(peers, "RESULT_KEPT_S", 0.01)
+    named = [(b"auburnrock-attempt-id", b"at")]
+    run = msgspec.structs.replace(
+        mesh.run(1 << 42), idempotent=False, left_ms=300.0, headers=named
+    )
+    await fleet.until(link.usable)
+    monkeypatch.setattr(link.connection, "on_message", lambda *_: None)
+    asking = asyncio.create_task(link.run(run))
+    await fleet.until(lambda: other.target.runs)
+    await fleet.until(
+        lambda: not any(number == 1 << 42 for *_, number in other.node.hub.work)
+    )
+    link.drop_connection()
+    outcome = await asking
+    assert len(other.target.runs) == 1
+    assert isinstance(outcome, peering.Lost)
+
+
 async def test_work_that_was_sent_while_it_was_broken_off_may_have_run(
     fleet, monkeypatch
 ):
