Do not call a node silent that is heard

What callers would see: 503 (overloaded), or a longer wait, for work that any target may run: a node behind a full link calls its neighbours silent, and no node sends them unkeyed work or keys until each has heard of it and contradicted. Cause: one attempt to connect that was not answered within 0.6 s counted as the silence of a neighbour or witness, and is spread to all nodes, though that one's own pings came in on the connection that it had opened. The class: what one node does not hear is taken for gone. Ruled out: that it ends requests or leases; neither looks at entries. That the choice of witnesses has to change: a node needs those that it reaches itself. Change: a node that has asked something within the limit of a silence (0.9 s) is not called silent for an attempt in vain; a refused one counts as before. A lost host is called silent as early as before: an attempt fails 1.5 s after the loss. Still open: neighbours of a large fleet ping once a second, so some are called silent between two pings. Tests: test_a_node_that_pings_is_not_called_silent_by_one_that_misses_it failed 3 of 3 before; test_a_node_that_was_last_heard_long_ago_is_called_silent holds the other side and needs the new attribute. Both pass 3 of 3, with all tests of requests, links and directories (75).

--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 import itertools
+import math
 import random
 
 import msgspec
@@ -110,9 +111,10 @@
       start: tells its process from earlier ones.
       number: orders the connections to this process by their opening.
       differing: pings in a row whose sum was another than here.
+      heard_ms: when the last message came.
     """
 
-    __slots__ = ("differing", "name", "number", "start")
+    __slots__ = ("differing", "heard_ms", "name", "number", "start")
 
     def __init__(self, name: str, start: str, number: int = 0):
         self.name = name
@@ -120,6 +122,7 @@
         self.number = number
         # What has changed before the connection was opened was not told on it.
         self.differing = SUMS_DIFFER - 1
+        self.heard_ms = -math.inf
 
     def origin(self) -> tuple[str, str]:
         """The other process."""
@@ -424,10 +427,13 @@
     def lose_node(self, link: link_module.Link, refused: bool) -> None:
         """Calls a node silent that cannot be connected to.
 
-        Who has no duty towards it may be cut off from it alone.
+        A failed attempt says little to a node without a duty towards it, which
+        may be cut off from it alone, and nothing to one that hears its pings.
         """
         if not (refused or link.watch.duty):
             return
+        if not refused and self.hears(link.member.name):
+            return
         entry = self.directory.call_silent(self.now_ms(), link.member.name)
         if entry is not None:
             self.log.write(
@@ -436,6 +442,14 @@
             self.spread([entry])
             self.on_directory([entry])
 
+    def hears(self, name: str) -> bool:
+        """Whether a node has asked something lately."""
+        since_ms = self.now_ms() - linking.SILENT_MS
+        return any(
+            inbound.name == name and inbound.heard_ms > since_ms
+            for inbound in self.inbound.values()
+        )
+
     def tell(self, message: peering.Message, giver: str = "") -> None:
         """Tells the neighbours at once, but not who has told it."""
         for name in self.neighbours:
@@ -522,6 +536,7 @@
         if inbound is None:
             connection.abort()
             return
+        inbound.heard_ms = self.now_ms()
         origin = inbound.origin()
         if isinstance(message, peering.Ping):
             self.on_ping_message(connection, inbound, message)
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -708,6 +708,38 @@
     assert sent[-1] == outcome
 
 
+async def test_a_node_that_pings_is_not_called_silent_by_one_that_misses_it(
+    fleet, monkeypatch
+):
+    """All nodes then sent it no work until it had contradicted."""
+    host, other = fleet.hosts[:2]
+    hub = host.node.hub
+    link = hub.links[other.ip]
+    await fleet.until(link.usable)
+    hub.directory.contradicted_ms.clear()
+    with monkeypatch.context() as patch:
+        patch.setattr(link_module, "CONNECT_TIMEOUT_S", 0.0)
+        link.drop_connection()
+        await fleet.until(link.watch.is_lost)
+        assert hub.directory.is_alive(other.ip)
+    await fleet.until(link.usable)
+
+
+async def test_a_node_that_was_last_heard_long_ago_is_called_silent(
+    fleet, monkeypatch
+):
+    host, other = fleet.hosts[:2]
+    hub = host.node.hub
+    link = hub.links[other.ip]
+    hub.directory.contradicted_ms.clear()
+    await fleet.until(lambda: hub.directory.is_alive(other.ip))
+    for inbound in hub.inbound.values():
+        inbound.heard_ms = hub.now_ms() - linking.SILENT_MS - 1.0
+    hub.lose_node(link, False)
+    assert not hub.directory.is_alive(other.ip)
+    await fleet.until(lambda: hub.directory.is_alive(other.ip))
+
+
 async def test_a_heartbeat_during_a_connect_is_no_other_target(
     fleet, monkeypatch
 ):
