Do not ask a silent node again under another record as another target

What callers would see: a second run of an idempotent request at the same target and a token of the budget, or 502 where the first run is broken off for it: a request at a silent node whose record was removed and written again meanwhile. Cause: whether another target is asked in its place was decided by the object that stands for the target, and a record that is written again makes another one. Ruled out: requests that must not run twice; they are never asked elsewhere in a silence. Change: the names of the nodes are compared.

--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -421,7 +421,8 @@
         attempt = self.under_way.get(run.number)
         if attempt is None or not attempt.route.idempotent:
             return False
-        if self._find(attempt) in (None, attempt.candidate):
+        found = self._find(attempt)
+        if found is None or found.name == attempt.candidate.name:
             return False
         attempt.count_reached()
         attempt.leaves = self._may_repeat(attempt, "silent")
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -456,6 +456,30 @@
     assert fleet.runs(f"at-{fleet.attempts}") == 1
 
 
+async def test_a_record_that_is_written_again_is_no_other_target(
+    fleet, monkeypatch
+):
+    """The request was given up there, paid for, and asked of it once more."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 0.4
+    hub, dispatcher = asker.node.hub, asker.node.dispatcher
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    link = hub.links[owner.ip]
+    records = dispatcher.members
+    dispatcher.take_members(
+        {name: each for name, each in records.items() if name != owner.ip}
+    )
+    dispatcher.take_members(records)
+    link.drop_connection()
+    link.leave_silent()
+    status, _, _ = await asking
+    assert status == 200
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
 async def test_a_request_that_was_not_sent_ends_with_its_nodes_record(fleet):
     asker, owner = fleet.hosts[:2]
     hub = asker.node.hub
