--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 import itertools
+import math
 import random
 
 import msgspec
@@ -36,7 +37,7 @@
 """Work of a node that does not come back is cancelled after this."""
 
 IDEMPOTENT_ORPHAN_S = 0.35
-"""The same for idempotent work that waits, or whose node cannot be reached."""
+"""The same for idempotent work that waits, or whose node has ended."""
 
 OFFSET_DRIFT_MS = 0.05
 """Clocks of two hosts drift apart by less than this between two pings."""
@@ -110,9 +111,10 @@
       start: tells its process from earlier ones.
       number: orders the connections to this process by their opening.
       differing: pings in a row whose sum was another than here.
+      heard_ms: when the last message came.
     """
 
-    __slots__ = ("differing", "name", "number", "start")
+    __slots__ = ("differing", "heard_ms", "name", "number", "start")
 
     def __init__(self, name: str, start: str, number: int = 0):
         self.name = name
@@ -120,6 +122,7 @@
         self.number = number
         # What has changed before the connection was opened was not told on it.
         self.differing = SUMS_DIFFER - 1
+        self.heard_ms = -math.inf
 
     def origin(self) -> tuple[str, str]:
         """The other process."""
@@ -424,10 +427,13 @@
     def lose_node(self, link: link_module.Link, refused: bool) -> None:
         """Calls a node silent that cannot be connected to.
 
-        Who has no duty towards it may be cut off from it alone.
+        A failed attempt says little to a node without a duty towards it, which
+        may be cut off from it alone, and nothing to one that hears its pings.
         """
         if not (refused or link.watch.duty):
             return
+        if not refused and self.hears(link.member.name):
+            return
         entry = self.directory.call_silent(self.now_ms(), link.member.name)
         if entry is not None:
             self.log.write(
@@ -436,6 +442,14 @@
             self.spread([entry])
             self.on_directory([entry])
 
+    def hears(self, name: str) -> bool:
+        """Whether a node has asked something lately."""
+        since_ms = self.now_ms() - linking.SILENT_MS
+        return any(
+            inbound.name == name and inbound.heard_ms > since_ms
+            for inbound in self.inbound.values()
+        )
+
     def tell(self, message: peering.Message, giver: str = "") -> None:
         """Tells the neighbours at once, but not who has told it."""
         for name in self.neighbours:
@@ -522,6 +536,7 @@
         if inbound is None:
             connection.abort()
             return
+        inbound.heard_ms = self.now_ms()
         origin = inbound.origin()
         if isinstance(message, peering.Ping):
             self.on_ping_message(connection, inbound, message)
@@ -628,14 +643,14 @@
         """Ends the work of a node that has not come back for it.
 
         Its connection may have been silent only: what the target works at is
-        left to it until the last look, unless it cannot be reached.
+        left to it until the last look, unless its process has ended.
         """
         link = self.links.get(asker)
-        is_lost = link is not None and link.watch.is_lost()
+        is_gone = link is not None and link.watch.is_gone()
         for work in list(self.work.values()):
             if work.connection is not connection or work.task is None:
                 continue
-            is_due = work.run.idempotent and (is_lost or not work.sent)
+            is_due = work.run.idempotent and (is_gone or not work.sent)
             if is_last or is_due:
                 self.log.write(
                     "work_orphaned",
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -349,6 +349,25 @@
     assert not link.abandoned
 
 
+async def test_a_caller_that_left_before_a_silence_was_noticed_ends_the_work(
+    fleet, monkeypatch
+):
+    """The cancel was lost with the connection that it had been sent on."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 5.0
+    link = asker.node.hub.links[owner.ip]
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    monkeypatch.setattr(link.connection, "send", lambda message: True)
+    asking.cancel()
+    await fleet.until(lambda: not link.waiting)
+    link.drop_connection()
+    room = owner.node.executor.room
+    await fleet.until(lambda: not room.running, peers.ORPHAN_S / 2)
+
+
 async def test_work_that_waits_does_not_begin_after_its_node_was_lost(
     fleet, monkeypatch
 ):
@@ -437,6 +456,30 @@
     assert fleet.runs(f"at-{fleet.attempts}") == 1
 
 
+async def test_a_record_that_is_written_again_is_no_other_target(
+    fleet, monkeypatch
+):
+    """The request was given up there, paid for, and asked of it once more."""
+    asker, owner = fleet.hosts[:2]
+    owner.target.behaviour.work_s = 0.4
+    hub, dispatcher = asker.node.hub, asker.node.dispatcher
+    asking = asyncio.create_task(
+        fleet.ask(asker, "/lookup/x", key=_key_of(asker, owner))
+    )
+    await fleet.until(lambda: owner.target.runs)
+    link = hub.links[owner.ip]
+    records = dispatcher.members
+    dispatcher.take_members(
+        {name: each for name, each in records.items() if name != owner.ip}
+    )
+    dispatcher.take_members(records)
+    link.drop_connection()
+    link.leave_silent()
+    status, _, _ = await asking
+    assert status == 200
+    assert fleet.runs(f"at-{fleet.attempts}") == 1
+
+
 async def test_a_request_that_was_not_sent_ends_with_its_nodes_record(fleet):
     asker, owner = fleet.hosts[:2]
     hub = asker.node.hub
@@ -581,6 +624,30 @@
     await fleet.until(lambda: ("x", "start", 14) not in hub.work, 1.0)
 
 
+async def test_a_request_that_ran_is_not_told_as_not_run_after_a_suspension(
+    fleet, monkeypatch
+):
+    """The node that has run it no longer knows it, and declines it as late."""
+    asker, other = fleet.hosts[:3:2]
+    link = asker.node.hub.links[other.ip]
+    monkeypatch.setattr(peers, "RESULT_KEPT_S", 0.01)
+    named = [(b"auburnrock-attempt-id", b"at")]
+    run = msgspec.structs.replace(
+        mesh.run(1 << 42), idempotent=False, left_ms=300.0, headers=named
+    )
+    await fleet.until(link.usable)
+    monkeypatch.setattr(link.connection, "on_message", lambda *_: None)
+    asking = asyncio.create_task(link.run(run))
+    await fleet.until(lambda: other.target.runs)
+    await fleet.until(
+        lambda: not any(number == 1 << 42 for *_, number in other.node.hub.work)
+    )
+    link.drop_connection()
+    outcome = await asking
+    assert len(other.target.runs) == 1
+    assert isinstance(outcome, peering.Lost)
+
+
 async def test_work_that_was_sent_while_it_was_broken_off_may_have_run(
     fleet, monkeypatch
 ):
@@ -632,6 +699,71 @@
     assert sent[-1] == outcome
 
 
+async def test_work_goes_on_for_a_node_that_does_not_connect_in_time(
+    fleet, monkeypatch
+):
+    """Packets of both directions wait at its full link."""
+    host, other = fleet.hosts[:2]
+    hub = host.node.hub
+    link = hub.links[other.ip]
+    outcome = link_module.unreachable(19)
+
+    async def run_for_a_while(run, note_sent):
+        note_sent()
+        await asyncio.sleep(0.1)
+        return outcome
+
+    monkeypatch.setattr(peers, "IDEMPOTENT_ORPHAN_S", 0.01)
+    monkeypatch.setattr(hub, "execute", run_for_a_while)
+    with monkeypatch.context() as patch:
+        patch.setattr(link_module, "CONNECT_TIMEOUT_S", 0.0)
+        link.drop_connection()
+        await fleet.until(link.watch.is_lost)
+        old, _ = _inbound(hub, other.ip)
+        hub.on_message(old, mesh.run(19))
+        await asyncio.sleep(0.01)
+        hub.on_closed(old)
+        await asyncio.sleep(0.05)
+    new, sent = _inbound(hub, other.ip)
+    hub.on_message(new, mesh.run(19))
+    await fleet.until(lambda: hub.work[other.ip, "start", 19].task is None)
+    hub.on_closed(new)
+    await fleet.until(link.usable)
+    assert sent[-1] == outcome
+
+
+async def test_a_node_that_pings_is_not_called_silent_by_one_that_misses_it(
+    fleet, monkeypatch
+):
+    """All nodes then sent it no work until it had contradicted."""
+    host, other = fleet.hosts[:2]
+    hub = host.node.hub
+    link = hub.links[other.ip]
+    await fleet.until(link.usable)
+    hub.directory.contradicted_ms.clear()
+    with monkeypatch.context() as patch:
+        patch.setattr(link_module, "CONNECT_TIMEOUT_S", 0.0)
+        link.drop_connection()
+        await fleet.until(link.watch.is_lost)
+        assert hub.directory.is_alive(other.ip)
+    await fleet.until(link.usable)
+
+
+async def test_a_node_that_was_last_heard_long_ago_is_called_silent(
+    fleet, monkeypatch
+):
+    host, other = fleet.hosts[:2]
+    hub = host.node.hub
+    link = hub.links[other.ip]
+    hub.directory.contradicted_ms.clear()
+    await fleet.until(lambda: hub.directory.is_alive(other.ip))
+    for inbound in hub.inbound.values():
+        inbound.heard_ms = hub.now_ms() - linking.SILENT_MS - 1.0
+    hub.lose_node(link, False)
+    assert not hub.directory.is_alive(other.ip)
+    await fleet.until(lambda: hub.directory.is_alive(other.ip))
+
+
 async def test_a_heartbeat_during_a_connect_is_no_other_target(
     fleet, monkeypatch
 ):
