--- /dev/null
+++ b/src/auburnrock/engine/mesh/restoring.py
@@ -0,0 +1,164 @@
+"""What a node may do while a restored store may lack what it had acknowledged.
+
+The store's answers name its era, which rises with each restore. A table says
+the era in which it was last changed; in a later one it is unsettled: versions
+of it may be lost, and targets may hold keys by them. So those who know a later
+version write it again, and nobody moves keys or deals them before every grant
+of a lost version has lapsed. Whose grants last that long has renewed its lease
+at witnesses that had not heard of the era either.
+"""
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import holder as holder_module
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import table as table_module
+
+PUT_BACK_MS = 1_500.0
+"""After news of a restore, those who know what it lost have written it again
+within this, or are cut off."""
+
+PUT_BACK_EVERY_MS = 60.0
+"""Between the nodes that may write a lost table again: one change, and the news
+of it, take less."""
+
+PUT_BACK_LAST_MS = 900.0
+"""The last of them begins after this."""
+
+
+def keeps_record(
+    own: model.Member | None,
+    own_revision: int,
+    found: model.Member,
+    revision: int,
+    is_live: bool,
+) -> bool:
+    """Whether a node goes on with its record as a restored store has it.
+
+    While its lease is live, no takeover has given its keys away: it would have
+    waited for the end of every renewal.
+
+    Args:
+      own: the record as the node has written it.
+      own_revision: of that.
+      found: the record in the store.
+      revision: of that.
+      is_live: whether the node's lease is live.
+    """
+    return _is_later_era(revision, own_revision) and found == own and is_live
+
+
+def loses_record(
+    own: model.Member | None,
+    own_revision: int,
+    found: model.Member,
+    revision: int,
+) -> bool:
+    """Whether a record that is not kept takes the place of the node's own."""
+    return found != own or _is_later_era(revision, own_revision)
+
+
+def lost_table(
+    newest: table_module.KeyTable | None, found: table_module.KeyTable
+) -> table_module.KeyTable | None:
+    """The newest table known, if the store has an earlier one instead.
+
+    Only a restore takes a table back.
+    """
+    if newest is not None and newest.rank() > found.rank():
+        return newest
+    return None
+
+
+def is_unsettled(
+    table: table_module.KeyTable | None,
+    lost: table_module.KeyTable | None,
+    era: int,
+) -> bool:
+    """Whether a table was not yet written in this era of the store.
+
+    Args:
+      table: as the store has it; None if it has none.
+      lost: a newer one that it does not have.
+      era: of the store.
+    """
+    return lost is not None or (table is not None and table.era < era)
+
+
+def is_restoring(now_ms: float, era_ms: float, unsettled: bool) -> bool:
+    """Whether tables that a restored store lost may have to come first.
+
+    They are written again by those who know them; a change made before would
+    take the place of one of them.
+
+    Args:
+      now_ms: the time.
+      era_ms: when the node heard of the restore.
+      unsettled: whether the table to change is.
+    """
+    return now_ms - era_ms < PUT_BACK_MS or unsettled
+
+
+def grants_reported_only(
+    is_first_seen: bool, unsettled: bool, before: bool
+) -> bool:
+    """Whether a target gets only what it reports that it holds.
+
+    Who starts in an era cannot know what was lost before it.
+
+    Args:
+      is_first_seen: whether no version of the table was known until now.
+      unsettled: whether the table is.
+      before: the answer until now.
+    """
+    if is_first_seen or not unsettled:
+        return unsettled
+    return before
+
+
+def turn_ms(before: int) -> float:
+    """How long a node waits for others that may write the same.
+
+    Args:
+      before: how many nodes come first.
+    """
+    return min(before * PUT_BACK_EVERY_MS, PUT_BACK_LAST_MS)
+
+
+def may_settle(waited_ms: float, term_ms: float, own_turn_ms: float) -> bool:
+    """Whether a table may be written in the store's era.
+
+    Who knows a later version and has not put it back within a term is cut off:
+    witnesses renew no term of the era before, and no grant outlasts its lease.
+
+    Args:
+      waited_ms: for how long the table has been known to be unsettled.
+      term_ms: of a lease.
+      own_turn_ms: how long this node waits for others.
+    """
+    return waited_ms >= term_ms * holder_module.SLOW_CLOCK + own_turn_ms
+
+
+def is_first_start(is_configured: bool, era_ms: float) -> bool:
+    """Whether no target can hold keys of a table that the store lost.
+
+    Args:
+      is_configured: whether the settings say that nothing ran before.
+      era_ms: when the node heard of a restore; negative if it did not.
+    """
+    return is_configured and era_ms < 0.0
+
+
+def may_deal_again(
+    now_ms: float, started_ms: float, era_ms: float, term_ms: float
+) -> bool:
+    """Whether all grants by a table that the store lost have lapsed.
+
+    Who knows such a table writes it again; the others' leases have ended a
+    term after the witnesses heard of the restore, and their grants too.
+    """
+    waited_ms = now_ms - max(started_ms, era_ms)
+    return waited_ms >= PUT_BACK_MS + term_ms * holder_module.SLOW_CLOCK
+
+
+def _is_later_era(revision: int, other: int) -> bool:
+    return coordination.era_of(revision) > coordination.era_of(other)
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from auburnrock.engine.mesh import coordination
-from auburnrock.engine.mesh import holder as holder_module
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
+from auburnrock.engine.mesh import restoring
 from auburnrock.engine.mesh import table as table_module
 from auburnrock.shells.mesh import cooling
 from auburnrock.shells.mesh import parts as parts_module
@@ -44,13 +44,6 @@
 ADOPT_EVERY_MS = 300.0
 """Between two looks for owners that are gone; they were lost seconds ago."""
 
-PUT_BACK_EVERY_MS = 60.0
-"""Between the nodes that may write a lost table again: one change, and the news
-of it, take less."""
-
-PUT_BACK_LAST_MS = 900.0
-"""The last of them begins after this."""
-
 GONE_MAX = 6
 """Lost owners whose keys one change moves, beside those it gives keys to."""
 
@@ -231,15 +224,10 @@
             and entry.name < self.name
             and not entry.silent
         )
-        return min(before * PUT_BACK_EVERY_MS, PUT_BACK_LAST_MS)
+        return restoring.turn_ms(before)
 
     async def settle(self, now_ms: float) -> None:
-        """Writes the table in the store's era, once nobody can know more.
-
-        Who knows a later version and has not put it back within a term is cut
-        off: witnesses renew no term of the era before, and no grant outlasts
-        its lease.
-        """
+        """Writes the table in the store's era, once nobody can know more."""
         service = self.settings.service
         era = self.store.era
         if not self.view.is_unsettled(service, era):
@@ -247,8 +235,11 @@
             return
         if self.unsettled_since_ms is None:
             self.unsettled_since_ms = now_ms
-        wait_ms = self.lease.term_ms * holder_module.SLOW_CLOCK
-        if now_ms - self.unsettled_since_ms >= wait_ms + self._turn_ms():
+        if restoring.may_settle(
+            now_ms - self.unsettled_since_ms,
+            self.lease.term_ms,
+            self._turn_ms(),
+        ):
             table, revision = self.view.tables[service]
             settled = table_module.settled(table, era)
             await self._write_table(settled, revision, set(), "settle")
@@ -261,8 +252,12 @@
             or now_ms - self.started_ms < parts_module.SETTLE_MS
         ):
             return
-        is_first_start = self._is_first_start()
-        if not is_first_start and not self._may_deal_again(now_ms):
+        is_first_start = restoring.is_first_start(
+            self.settings.is_first_start, self.parts.era_ms
+        )
+        if not is_first_start and not restoring.may_deal_again(
+            now_ms, self.started_ms, self.parts.era_ms, self.lease.term_ms
+        ):
             return
         weights = self._weights()
         expected = {
@@ -293,20 +288,6 @@
         conditions = set(sorted(present)[:RECIPIENTS_MAX])
         await self._write_table(table, 0, conditions, "deal")
 
-    def _is_first_start(self) -> bool:
-        """Whether no target can hold keys of a table that the store lost."""
-        return self.settings.is_first_start and self.parts.era_ms < 0.0
-
-    def _may_deal_again(self, now_ms: float) -> bool:
-        """Whether all grants by a table that the store lost have lapsed.
-
-        Who knows such a table writes it again; the others' leases have ended a
-        term after the witnesses heard of the restore, and their grants too.
-        """
-        since_ms = max(self.started_ms, self.parts.era_ms)
-        wait_ms = self.lease.term_ms * holder_module.SLOW_CLOCK
-        return now_ms - since_ms >= parts_module.PUT_BACK_MS + wait_ms
-
     async def hand_over(self, now_ms: float) -> None:
         """Gives away the keys that the target no longer holds."""
         known = self.view.tables.get(self.settings.service)
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -9,6 +9,7 @@
 
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import restoring
 from auburnrock.engine.mesh import table as table_module
 from auburnrock.shells.mesh import moves as moves_module
 from auburnrock.shells.mesh import parts as parts_module
@@ -123,8 +124,9 @@
         own = self.record
         if not own.revision or own.follow_era(member, item.revision):
             return
-        era = coordination.era_of(item.revision)
-        if member != own.record or era > coordination.era_of(own.revision):
+        if restoring.loses_record(
+            own.record, own.revision, member, item.revision
+        ):
             own.lose("record_replaced", item.revision)
 
     def _on_table(self, service: str, item: coordination.Item) -> None:
@@ -150,21 +152,23 @@
             return
         is_same = known is not None and known[0] == table
         newest = self.view.lost.pop(service, known and known[0])
-        if newest is not None and newest.rank() > table.rank():
-            # Only a restore takes a table back.
-            self.view.lost[service] = newest
+        lost = restoring.lost_table(newest, table)
+        if lost is not None:
+            self.view.lost[service] = lost
             self.log.write(
                 "table_lost",
                 service=service,
-                version=newest.version,
+                version=lost.version,
                 found=table.version,
             )
             return
         self.on_table(service, table)
         if service == self.settings.service:
-            if known is None or not self.is_unsettled(service):
-                # Who starts in an era cannot know what was lost before it.
-                self.holder.reported_only = self.is_unsettled(service)
+            self.holder.reported_only = restoring.grants_reported_only(
+                known is None,
+                self.is_unsettled(service),
+                self.holder.reported_only,
+            )
             if table.is_dealt() and not is_same:
                 self.record.is_confirmed = False
             self.holder.take_table(table)
@@ -222,14 +226,12 @@
             self.takeover.watch_over_others(now_ms)
 
     def is_restoring(self, now_ms: float) -> bool:
-        """Whether tables that a restored store lost may have to come first.
-
-        They are written again by those who know them; a change made before
-        would take the place of one of them.
-        """
-        since_ms = now_ms - self.parts.era_ms
-        is_recent = since_ms < parts_module.PUT_BACK_MS
-        return is_recent or self.is_unsettled(self.settings.service)
+        """Whether tables that a restored store lost may have to come first."""
+        return restoring.is_restoring(
+            now_ms,
+            self.parts.era_ms,
+            self.is_unsettled(self.settings.service),
+        )
 
     def is_unsettled(self, service: str) -> bool:
         """Whether a table was not yet written in the store's era."""
--- a/src/auburnrock/shells/mesh/parts.py
+++ b/src/auburnrock/shells/mesh/parts.py
@@ -25,10 +25,6 @@
 SETTLE_MS = 1_200.0
 """After a start, other nodes of the same start have registered by then."""
 
-PUT_BACK_MS = 1_500.0
-"""After news of a restore, those who know what it lost have written it again
-within this, or are cut off."""
-
 WRITE_PAUSE_MS = 150.0
 """After a failed write, before the next."""
 
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -7,6 +7,7 @@
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import lease as lease_module
 from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import restoring
 from auburnrock.shells.mesh import parts as parts_module
 from auburnrock.shells.mesh import view as view_module
 
@@ -44,16 +45,11 @@
         self.record = None
 
     def follow_era(self, record: model.Member, revision: int) -> bool:
-        """Goes on with this record where a restored store has it unchanged.
-
-        While the lease is live, no takeover has given this node's keys away:
-        it would have waited for the end of every renewal.
-        """
-        in_later_era = coordination.era_of(revision) > coordination.era_of(
-            self.revision
-        )
+        """Goes on with this record where a restored store has it unchanged."""
         is_live = self.lease.ends_ms() > self.now_ms()
-        if not in_later_era or record != self.record or not is_live:
+        if not restoring.keeps_record(
+            self.record, self.revision, record, revision, is_live
+        ):
             return False
         self.revision = revision
         self.view.members[self.name] = (record, revision)
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -10,6 +10,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import plan
+from auburnrock.engine.mesh import restoring
 from auburnrock.engine.mesh import table as table_module
 from auburnrock.shells.mesh import moves as moves_module
 from auburnrock.shells.mesh import parts as parts_module
@@ -167,10 +168,11 @@
 
     async def _take_keys(self, member: model.Member, revision: int) -> None:
         """Gives a sealed node's keys to others and removes its record."""
-        since_ms = self.now_ms() - self.parts.era_ms
-        is_restoring = since_ms < parts_module.PUT_BACK_MS
-        era = self.store.era
-        if is_restoring or self.view.is_unsettled(member.service, era):
+        if restoring.is_restoring(
+            self.now_ms(),
+            self.parts.era_ms,
+            self.view.is_unsettled(member.service, self.store.era),
+        ):
             self.log.write("takeover_waits", node=member.name)
             return
         expected = {self.view.member_key(member.name): revision}
--- a/src/auburnrock/shells/mesh/view.py
+++ b/src/auburnrock/shells/mesh/view.py
@@ -7,6 +7,7 @@
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
+from auburnrock.engine.mesh import restoring
 from auburnrock.engine.mesh import table as table_module
 
 BASES_KEPT = 4
@@ -180,9 +181,9 @@
     def is_unsettled(self, service: str, era: int) -> bool:
         """Whether a table was not yet written in this era of the store."""
         known = self.tables.get(service)
-        if service in self.lost:
-            return True
-        return known is not None and known[0].era < era
+        return restoring.is_unsettled(
+            known and known[0], self.lost.get(service), era
+        )
 
     def note_lost(self, service: str) -> None:
         """A restored store has no table of this service."""
--- /dev/null
+++ b/tests/common/mesh_restore_node.py
@@ -0,0 +1,458 @@
+"""A node's process in virtual time: its ownership, and a model of its network.
+
+The tasks of the ownership, the views of the store, the telling of what changed
+and the client of the store are the node's own. Connections between nodes are
+modelled: messages are sent at once, and may be lost or come late.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import contextvars
+import math
+import random
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import heat as heat_module
+from auburnrock.engine.mesh import holder as holder_module
+from auburnrock.engine.mesh import membership
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import peering
+from auburnrock.platform import names
+from auburnrock.platform import store as platform_store
+from auburnrock.shells.mesh import node as node_module
+from auburnrock.shells.mesh import ownership as ownership_module
+from auburnrock.shells.mesh import parts as parts_module
+from auburnrock.shells.mesh import relay
+from auburnrock.shells.mesh import sync as sync_module
+from auburnrock.shells.mesh import telling as telling_module
+from tests.common import mesh
+from tests.common import mesh_world
+from tests.common import virtual_time
+
+SERVICE = "portal"
+PING_S = 0.3
+UNHEARD_MS = 1_200.0
+"""A node that has not answered for so long is called silent."""
+
+ALL_NEIGHBOURS = 24
+"""Up to so many nodes all are neighbours."""
+
+RECORDS_EVERY = 3
+"""Pings between two looks for records that nobody has told of."""
+
+
+class Log:
+    """Counts events, and keeps them while it is told to.
+
+    Attributes:
+      counts: events by kind.
+      lines: the events with their time and process; None keeps none.
+    """
+
+    def __init__(self, lines: list | None, name: str, counts, now_ms):
+        self.lines = lines
+        self.name = name
+        self.counts = counts
+        self.now_ms = now_ms
+
+    def write(self, event: str, **fields: object) -> None:
+        """Takes an event."""
+        kind = f"{event} {fields['cause']}" if "cause" in fields else event
+        if fields.get("done", True):
+            self.counts[kind] += 1
+        if self.lines is not None or event == "fault":
+            line = (round(self.now_ms()), self.name, event, fields)
+            (self.lines if self.lines is not None else []).append(line)
+
+
+class Counter:
+    """A counter of the metrics that nobody reads."""
+
+    def inc(self, amount: float = 1.0) -> None:
+        """Counts."""
+
+
+class Metrics:
+    """The metrics that the ownership counts."""
+
+    def __init__(self):
+        self.keys_moved = Counter()
+
+
+class Link:
+    """The way to another node."""
+
+    def __init__(self, hub: "Hub", name: str):
+        self.hub = hub
+        self.name = name
+        self.heard_ms = hub.now_ms()
+        self.pinged_ms = -math.inf
+
+    def usable(self) -> bool:
+        """Whether the node has answered lately."""
+        return self.hub.now_ms() - self.heard_ms < UNHEARD_MS
+
+    def ping(self) -> None:
+        """Asks for life, and for a renewal."""
+        now_ms = self.hub.now_ms()
+        if now_ms - self.pinged_ms < PING_S * 500.0:
+            return
+        self.pinged_ms = now_ms
+        self.hub.process.ping(self)
+
+    async def ask(
+        self, message: peering.Message, mark: tuple, limit_s: float
+    ) -> object:
+        """Asks a question; None without an answer in time."""
+        del mark
+        loop = asyncio.get_running_loop()
+        answered = loop.create_future()
+        process = self.hub.process
+
+        def take(answer: object) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        process.world.send(
+            process, self.name, "on_question", message, process, take
+        )
+        try:
+            async with asyncio.timeout(limit_s):
+                return await answered
+        except TimeoutError:
+            return None
+
+
+class Hub:
+    """The other nodes, as this one knows them."""
+
+    def __init__(self, process: "Process"):
+        self.process = process
+        self.name = process.name
+        self.now_ms = process.now_ms
+        self.members: dict[str, model.Member] = {}
+        self.members_ms = process.now_ms()
+        self.directory = membership.Directory(self.name, int(self.members_ms))
+        self.links: dict[str, Link] = {}
+        self.neighbours: set[str] = set()
+        self.chance = process.chance
+        self.on_change_asked: Callable
+
+    def set_members(self, members: dict[str, model.Member]) -> None:
+        """Takes the nodes' records."""
+        if members.keys() != self.members.keys():
+            self.members_ms = self.now_ms()
+        self.members = members
+        self.directory.set_members(members)
+        for name in self.links.keys() - members.keys():
+            del self.links[name]
+        if len(members) <= ALL_NEIGHBOURS:
+            self.neighbours = members.keys() - {self.name}
+        else:
+            self.neighbours = membership.neighbours(self.name, members)
+
+    def link_to(self, name: str) -> Link | None:
+        """The link to a member, made if need be."""
+        if name in self.members and name != self.name:
+            return self.links.setdefault(name, Link(self, name))
+        return None
+
+    def tick(self, at_once: bool = False) -> None:
+        """Pings the neighbours and the witnesses."""
+        del at_once
+        lease = self.process.ownership.lease
+        for name in sorted(self.neighbours | lease.asked()):
+            link = self.link_to(name)
+            if link is not None:
+                link.ping()
+        for name in sorted(self.neighbours & self.links.keys()):
+            if not self.links[name].usable():
+                self.directory.call_silent(self.now_ms(), name)
+
+    def is_heard(self, name: str) -> bool:
+        """Whether a node is heard, here and by its neighbours."""
+        link = self.links.get(name)
+        if link is not None and name in self.neighbours and not link.usable():
+            return False
+        return self.directory.is_alive(name)
+
+    def alive(self) -> set[str]:
+        """Members that are heard."""
+        return set(filter(self.is_heard, self.directory.alive()))
+
+    def tell(self, message: peering.Message, giver: str = "") -> None:
+        """Tells all neighbours but one."""
+        for name in sorted(self.neighbours):
+            if name != giver:
+                self.process.send(name, "on_news", self.name, message)
+
+    def ask_any_neighbour(self, message: peering.Message) -> None:
+        """Asks one neighbour for an item."""
+        known = sorted(self.neighbours & self.links.keys())
+        if known:
+            name = self.chance.choice(known)
+            self.process.send(name, "on_news", self.name, message)
+
+
+class Process:
+    """One process of a node.
+
+    Attributes:
+      world: what it runs in.
+      name: of the node.
+      wakes_s: end of its freeze; infinity once it has ended.
+      context: of all that it does.
+    """
+
+    def __init__(self, world, name: str, number: int, is_first_start: bool):
+        self.world = world
+        self.name = name
+        self.wakes_s = 0.0
+        self.weight = 1.0
+        self.chance = random.Random(f"{world.seed} {name} {number}")
+        self.context = contextvars.copy_context()
+        self.context.run(virtual_time.OWNER.set, self)
+        self.hub = Hub(self)
+        self.log = Log(world.lines, name, world.counts, self.now_ms)
+        self.holder = holder_module.Holder(
+            name, mesh_world.HOLD_MS, self.now_ms()
+        )
+        self.store = platform_store.Store("store:80", self.now_ms)
+        self.store.client = world.store_client(self)
+        self.settings = model.Settings(
+            *(f"host-{name}", name, world.zone_of(name), {}, SERVICE),
+            *("", "", "", "", f"{name}:7000", "", ""),
+            *(mesh_world.HEARTBEAT_MS, 0, 0.0, None, is_first_start),
+        )
+        self.ownership = ownership_module.Ownership(
+            parts_module.Parts(
+                self.settings,
+                relay.RelayedStore(self.store, self.hub, self.log, self.now_ms),
+                names.OWN_PREFIX,
+                self.holder,
+                self.hub,
+                self.log,
+                Metrics(),
+                self.now_ms,
+                mesh_world.TERM_MS,
+            )
+        )
+        self.telling = telling_module.Telling(
+            self.settings, self.hub, self.ownership, self.log, self.now_ms
+        )
+        self.own_sync = self.sync(names.OWN_PREFIX, self.ownership.on_items)
+        self.tasks: collections.deque[asyncio.Task] = collections.deque()
+        self.connect_parts()
+
+    def sync(self, prefix: str, on_items: Callable) -> sync_module.Sync:
+        """A view of the store's items under a prefix."""
+        return sync_module.Sync(
+            self.store,
+            prefix,
+            node_module.OWN_WAIT_MS,
+            node_module.OWN_PAUSE_S,
+            self.log,
+            self.now_ms,
+            on_items,
+            self.telling.is_reader,
+            self.telling.tell,
+        )
+
+    def connect_parts(self) -> None:
+        """Connects the parts as a node does."""
+        ownership = self.ownership
+        parts = ownership.parts
+        self.store.on_era = self.on_era
+        self.telling.store = self.store
+        self.telling.own_sync = self.own_sync
+        self.telling.configuration_sync = self.sync(
+            names.OPERATOR_PREFIX, lambda items, revision: None
+        )
+        self.telling.configuration_sync.is_lost = False
+        self.telling.configuration_version = lambda: 0
+        self.telling.is_uninformed = lambda: not ownership.witness.ready
+        self.telling.item = self.item
+        parts.on_members = lambda records: None
+        parts.tell = self.telling.tell
+        parts.weight_of_self = self.own_weight
+        parts.heat = heat_module.Heat(self.now_ms())
+        parts.slots = lambda: 18
+        parts.loads = dict
+        ownership.on_table = lambda service, table: None
+        ownership.on_lease_in_doubt = self.own_sync.list_again
+        ownership.keyed = True
+        ownership.moves.chance = self.chance
+
+    def start(self) -> None:
+        """Begins to run."""
+        self.world.loop.call_soon(self.begin_tasks, context=self.context)
+
+    def begin_tasks(self) -> None:
+        """Begins its tasks, in its context."""
+        self.own_sync.start()
+        self.ownership.start()
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(self.tick_always()))
+
+    def now_ms(self) -> float:
+        """The time."""
+        return self.world.loop.now_s * 1_000.0
+
+    def is_up(self) -> bool:
+        """Whether it runs, or is frozen."""
+        return self.wakes_s < math.inf
+
+    def freeze(self, for_s: float) -> None:
+        """Stands still for a while."""
+        self.wakes_s = self.world.loop.now_s + for_s
+
+    def kill(self) -> None:
+        """Ends without another step."""
+        self.wakes_s = math.inf
+
+    def own_weight(self) -> float:
+        """Share of this node's target."""
+        return self.own_entry().weight()
+
+    def own_entry(self) -> membership.Entry:
+        """What all nodes may know of this one."""
+        return membership.Entry(
+            self.name,
+            service=SERVICE,
+            life=self.holder.life,
+            slots=round(18 * self.weight),
+            draining=self.holder.draining,
+            reads=self.telling.reads(),
+        )
+
+    async def tick_always(self) -> None:
+        """Keeps in touch with the other nodes."""
+        rounds = 0
+        while True:
+            self.hub.directory.tell_own(self.own_entry())
+            self.hub.tick()
+            rounds += 1
+            if rounds % RECORDS_EVERY == 0:
+                self.telling.look_for_records()
+            await asyncio.sleep(PING_S)
+
+    def on_era(self, era: int) -> None:
+        """As a node does."""
+        before = self.own_sync.era
+        if self.ownership.witness.ready:
+            self.log.write("store_era", before=before, after=era)
+            self.ownership.parts.era_ms = self.now_ms()
+        for key, revision in self.ownership.view.revisions().items():
+            self.own_sync.note_told(key, revision)
+        self.own_sync.begin_era(era)
+
+    def item(self, key: str) -> tuple[str, bytes, int] | None:
+        """One item of the store as known here."""
+        item = self.ownership.view.item(key)
+        return item and (item.key, item.value, item.revision)
+
+    def send(self, name: str, method: str, *values: object) -> None:
+        """Sends a message to the process that another node then has."""
+        self.world.send(self, name, method, *values)
+
+    def ping(self, link: Link) -> None:
+        """Sends a ping."""
+        directory = self.hub.directory
+        entries = [directory.own]
+        if len(self.hub.members) <= ALL_NEIGHBOURS:
+            entries += directory.entries.values()
+        self.send(
+            link.name,
+            "on_ping",
+            self,
+            self.now_ms(),
+            self.ownership.term_for(link.name),
+            entries,
+            self.telling.versions(),
+            not self.ownership.witness.ready,
+        )
+
+    def on_ping(
+        self,
+        asker: "Process",
+        sent_ms: float,
+        term: int,
+        entries: list[membership.Entry],
+        versions: peering.Versions,
+        asks: bool,
+    ) -> None:
+        """Answers a ping."""
+        directory = self.hub.directory
+        directory.take(self.now_ms(), entries)
+        self.telling.on_versions(versions)
+        ping = peering.Ping(sent_ms, term, mesh.report(), None, [])
+        renewed = self.ownership.on_ping(asker.name, ping)
+        own = [directory.own]
+        if len(self.hub.members) <= ALL_NEIGHBOURS:
+            own += directory.entries.values()
+        items = self.ownership.view.items() if asks else []
+        self.world.answer(
+            *(self, asker, asker.on_pong, self.name, sent_ms, renewed),
+            *(own, self.telling.versions(), items),
+        )
+
+    def on_pong(
+        self,
+        name: str,
+        sent_ms: float,
+        term: int,
+        entries: list[membership.Entry],
+        versions: peering.Versions,
+        items: list[coordination.Item],
+    ) -> None:
+        """Takes the answer to a ping."""
+        link = self.hub.links.get(name)
+        if link is None:
+            return
+        link.heard_ms = self.now_ms()
+        self.hub.directory.take(self.now_ms(), entries)
+        self.telling.on_versions(versions)
+        pong = peering.Pong(sent_ms, term, mesh.report(), None)
+        self.ownership.on_pong(name, pong)
+        if items and not self.ownership.witness.ready:
+            self.ownership.take_items(items)
+
+    def on_news(self, giver: str, message: peering.Message) -> None:
+        """Takes what a neighbour tells of the store."""
+        if isinstance(message, peering.Told):
+            self.telling.on_told(giver, message)
+        elif isinstance(message, peering.TableTold):
+            self.telling.on_table_told(giver, message)
+        elif isinstance(message, peering.Has):
+            if self.telling.on_has(message):
+                want = peering.Want(message.key, message.revision)
+                self.send(giver, "on_news", self.name, want)
+        elif isinstance(message, peering.Want):
+            wanted = self.telling.on_want(message)
+            if wanted is not None:
+                self.send(giver, "on_news", self.name, wanted)
+
+    def on_question(
+        self, message: peering.Message, asker: "Process", take: Callable
+    ) -> None:
+        """Answers a question of another node."""
+        if isinstance(message, peering.Silence):
+            answer = self.ownership.on_silence(message.name)
+        elif isinstance(message, peering.Seal):
+            answer = self.ownership.takeover.on_seal(
+                message.name, message.revision
+            )
+        else:
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self.change(message, asker, take))
+            self.tasks.append(task)
+            return
+        self.world.answer(self, asker, take, answer)
+
+    async def change(
+        self, message: peering.ChangeAsked, asker: "Process", take: Callable
+    ) -> None:
+        """Makes a change of the store for another node."""
+        answer = await self.hub.on_change_asked(message)
+        self.world.answer(self, asker, take, answer)
--- /dev/null
+++ b/tests/common/mesh_restore_world.py
@@ -0,0 +1,544 @@
+"""A fleet in virtual time whose store is restored from older copies.
+
+The processes run the node's own ownership, and the store is the stand-in. This
+file carries their messages, brings about faults and keeps the oracle, which
+looks only at what targets accept.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import contextvars
+import random
+import urllib.parse
+
+from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import plan
+from auburnrock.engine.mesh import table as table_module
+from auburnrock.platform import names as platform_names
+from auburnrock.shells.mesh import http_client
+from auburnrock_standins import mesh_store
+from tests.common import mesh
+from tests.common import mesh_restore_node
+from tests.common import mesh_world
+from tests.common import virtual_time
+
+STRIPES = 24
+GRID = table_module.first_table([mesh.life("a")] * STRIPES)
+"""What the targets' keys are cut into."""
+
+COPY_AGES_S = (0.1, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0)
+AWAY_S = (0.0, 0.3, 1.0, 3.0)
+FREED_BEAT_S = 0.1
+"""A target that has let go of keys says so within this."""
+
+DRAIN_S = 6.0
+RECOVERY_S = 30.0
+"""After the last fault, until when all keys are held again."""
+
+KINDS = (
+    *("freeze", "restart", "cut", "heal", "crash", "start", "drain"),
+    *("weigh", "weigh", "part", "blind", "restore", "restore", "restart_all"),
+)
+
+
+def cut_keys_into_few(monkeypatch) -> None:
+    """Lets a first deal have as many stripes as the targets here."""
+    monkeypatch.setattr(plan, "first_count", lambda targets: STRIPES)
+    monkeypatch.setattr(table_module, "STRIPES_LEAST", STRIPES)
+    monkeypatch.setattr(table_module, "RUN_STRIPES", 1)
+
+
+class Target(mesh_world.Target):
+    """A target that takes no row with a token below one that it has seen."""
+
+    def __init__(self, member: str, started_ms: int, rate: float):
+        super().__init__(member, started_ms, rate)
+        self.seen: dict[int, int] = {}
+        self.state = model.TargetState.READY
+        self.is_up = True
+
+    def obey(self, now_ms, reply, sent_ms, table) -> None:
+        """Takes a reply."""
+        taken = [row for row in reply.holds if self.accepts(row, table)]
+        reply = model.HeartbeatReply(taken, reply.hold_ms)
+        super().obey(now_ms, reply, sent_ms, table)
+        for stripe, (fence, _) in self.holds.items():
+            self.seen[stripe] = max(fence, self.seen.get(stripe, 0))
+
+    def accepts(self, row: model.HeldRange, table) -> bool:
+        """Whether it has seen no higher token on one of the keys."""
+        stripes = range(table.stripe_of(row.first), table.stripe_of(row.last))
+        return all(
+            self.seen.get(stripe, 0) <= row.fence
+            for stripe in (*stripes, table.stripe_of(row.last))
+        )
+
+
+class Request:
+    """A request as the stand-in of the store sees it."""
+
+    def __init__(self, remote: str, data: bytes):
+        head, _, self.body = data.partition(b"\r\n\r\n")
+        self.method, path = head.split(b" ", 2)[:2]
+        url = urllib.parse.urlsplit(path.decode())
+        self.path = url.path
+        self.query = dict(urllib.parse.parse_qsl(url.query))
+        self.remote = remote
+        self.transport = self
+        self.is_cut = False
+
+    def abort(self) -> None:
+        """Ends the connection."""
+        self.is_cut = True
+
+    async def read(self) -> bytes:
+        """The body."""
+        return self.body
+
+
+class Connection:
+    """A connection of a process to the store."""
+
+    def __init__(self, world: "World", process):
+        self.world = world
+        self.process = process
+        self.on_part: Callable[[], None]
+
+    def exchange(self, data: bytes, accepts: Callable) -> asyncio.Future:
+        """Sends a request."""
+        del accepts
+        answered = self.world.loop.create_future()
+        request = Request(self.process.name, data)
+        self.world.ask_store(self.process, request, answered)
+        return answered
+
+    def abort(self) -> None:
+        """Nothing is kept of it."""
+
+
+class StoreClient:
+    """Connections of a process to the store."""
+
+    def __init__(self, world: "World", process):
+        self.world = world
+        self.process = process
+
+    async def connect(self, idle_max_ms: float) -> Connection:
+        """Makes a connection.
+
+        Raises:
+          RefusedError: the process is cut off.
+        """
+        del idle_max_ms
+        if not self.world.reaches_store(self.process.name):
+            await asyncio.sleep(http_client.CONNECT_TIMEOUT_S)
+            raise http_client.RefusedError("cut off", False)
+        return Connection(self.world, self.process)
+
+    def give_back(self, connection: Connection) -> None:
+        """Nothing is kept of it."""
+
+    def close(self) -> None:
+        """There is none."""
+
+
+class World:
+    """Everything, and the oracle.
+
+    Attributes:
+      loop: the virtual time.
+      store: the stand-in.
+      processes: the present or last one of each node.
+      targets: the present or last one beside each node.
+      tokens: the last token accepted for each stripe, and whose.
+      faults: what must not be.
+      counts: events of all nodes by kind.
+      lines: the events themselves, if they are kept.
+      restores: moments at which the store was restored.
+    """
+
+    def __init__(
+        self, seed: int, names: str = "abcd", lines: list | None = None
+    ):
+        self.seed = seed
+        self.names = names
+        self.lines = lines
+        self.chance = random.Random(seed)
+        self.loop = virtual_time.Loop(100.0, lambda process: process.wakes_s)
+        self.context = contextvars.Context()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.store = mesh_store.MeshStore(self.loop.time)
+        self.cut: set[str] = set()
+        self.blind: set[str] = set()
+        self.apart: set[frozenset[str]] = set()
+        self.links: dict[tuple[str, str], random.Random] = {}
+        self.tokens: dict[int, tuple[int, model.Life]] = {}
+        self.faults: list[str] = []
+        self.restores: list[float] = []
+        self.starts = 0
+        self.processes: dict[str, mesh_restore_node.Process] = {}
+        self.targets: dict[str, Target] = {}
+        for name in names:
+            self.later(self.chance.uniform(0.0, 0.8), self.boot, name, True)
+            self.start_target(name)
+
+    # Time.
+
+    def later(self, delay_s: float, act: Callable, *values) -> None:
+        """Does something that belongs to no process."""
+        self.loop.call_later(delay_s, act, *values, context=self.context)
+
+    def run(self, for_s: float) -> None:
+        """Lets time pass."""
+        self.loop.run(for_s)
+
+    def now_ms(self) -> float:
+        """The time."""
+        return self.loop.now_s * 1_000.0
+
+    def note(self, event: str, **fields: object) -> None:
+        """Keeps an event of the world."""
+        self.counts[event] += 1
+        if self.lines is not None:
+            self.lines.append((round(self.now_ms()), "world", event, fields))
+
+    # Processes and their messages.
+
+    def zone_of(self, name: str) -> str:
+        """Zone of a node."""
+        return ("piran", "koper", "izola")[self.names.index(name) % 3]
+
+    def boot(self, name: str, is_first_start: bool) -> None:
+        """Starts a process of a node, if it has none."""
+        old = self.processes.get(name)
+        if old is not None and old.is_up():
+            return
+        self.starts += 1
+        process = mesh_restore_node.Process(
+            self, name, self.starts, is_first_start
+        )
+        self.processes[name] = process
+        process.start()
+
+    def kill(self, name: str, for_s: float) -> None:
+        """Ends a node's process; the next one starts after a while."""
+        process = self.processes.get(name)
+        if process is not None and process.is_up():
+            process.kill()
+            self.later(for_s, self.boot, name, False)
+
+    def stream(self, one: str, other: str) -> random.Random:
+        """Chance of one way between two nodes."""
+        key = (one, other)
+        if key not in self.links:
+            self.links[key] = random.Random(f"{self.seed} {one} {other}")
+        return self.links[key]
+
+    def delay_s(self, one: str, other: str) -> float | None:
+        """A message's time; None if it is lost."""
+        chance = self.stream(one, other)
+        if {one, other} & self.cut or frozenset((one, other)) in self.apart:
+            return None
+        kind = chance.random()
+        if kind < 0.03:
+            return None
+        if kind < 0.06:
+            return chance.uniform(0.3, 6.0)
+        return chance.uniform(0.0005, 0.04)
+
+    def send(self, sender, name: str, method: str, *values: object) -> None:
+        """Sends a message to the process that a node then has."""
+        delay_s = self.delay_s(sender.name, name)
+        if delay_s is not None:
+            self.later(delay_s, self.deliver, name, method, *values)
+
+    def deliver(self, name: str, method: str, *values: object) -> None:
+        """A message arrives; a frozen process takes it when it wakes."""
+        process = self.processes.get(name)
+        if process is not None and process.is_up():
+            act = getattr(process, method)
+            self.loop.call_soon(act, *values, context=process.context)
+
+    def answer(self, sender, process, act: Callable, *values: object) -> None:
+        """Answers the process that has asked."""
+        delay_s = self.delay_s(sender.name, process.name)
+        if delay_s is not None:
+            self.loop.call_later(delay_s, act, *values, context=process.context)
+
+    # The store.
+
+    def reaches_store(self, name: str) -> bool:
+        """Whether calls of a node get through."""
+        return name not in self.cut | self.blind
+
+    def store_client(self, process) -> StoreClient:
+        """The way of a process to the store."""
+        return StoreClient(self, process)
+
+    def ask_store(self, process, request: Request, answered) -> None:
+        """Carries a call to the store: it may be lost, or come late."""
+        chance = process.chance
+        kind = chance.random()
+        delay_s = chance.uniform(0.001, 0.006)
+        if kind < 0.01:
+            return
+        if kind < 0.04:
+            delay_s = chance.uniform(0.1, 7.0)
+        self.later(delay_s, self.store_takes, process, request, answered)
+
+    def store_takes(self, process, request: Request, answered) -> None:
+        """A call arrives at the store."""
+        self.loop.create_task(
+            self.carry_out(process, request, answered), context=self.context
+        )
+
+    async def carry_out(self, process, request: Request, answered) -> None:
+        """The store carries out a call."""
+        handlers = {
+            "/auburnrock/kv-key": self.store.key,
+            "/auburnrock/kv-range": self.store.range,
+            "/auburnrock/kv-watch": self.store.watch,
+            "/auburnrock/kv-txn": self.store.change,
+        }
+        response = await handlers[request.path](request)
+        await self.store.stamp(request, response)
+        chance = process.chance
+        if chance.random() < 0.02 or not self.reaches_store(process.name):
+            # The answer is lost.
+            return
+        era = response.headers.get(mesh_store.ERA_HEADER, "")
+        answer = http_client.Answer(
+            response.status,
+            [(platform_names.ERA, era.encode())],
+            bytes(response.body or b""),
+        )
+        self.loop.call_later(
+            chance.uniform(0.001, 0.004),
+            take_answer,
+            *(answered, None if request.is_cut else answer),
+            context=process.context,
+        )
+
+    def restore(self, age_s: float, away_s: float) -> None:
+        """Lets the store be away, and come back from a copy."""
+        if self.store.is_away:
+            return
+        self.note("restore", age_s=age_s, away_s=away_s)
+        self.restores.append(self.loop.now_s)
+        self.store.is_away = True
+        self.store.wake()
+
+        def come_back() -> None:
+            self.store.restore(age_s + away_s)
+            self.store.is_away = False
+
+        self.later(away_s, come_back)
+
+    # Targets.
+
+    def start_target(self, name: str) -> None:
+        """Starts a target beside a node; the one before it has ended."""
+        self.starts += 1
+        rate = self.chance.choice((1.0, 1.02))
+        target = Target(name, self.starts, rate)
+        self.targets[name] = target
+        self.later(self.chance.uniform(0.0, 0.9), self.beat, target)
+
+    def end_target(self, target: Target, is_seen: bool) -> None:
+        """Ends a target; its node may see its port refuse."""
+        if not target.is_up:
+            return
+        target.is_up = False
+        process = self.processes.get(target.life.member)
+        if is_seen and process is not None and process.is_up():
+            self.loop.call_soon(
+                self.see_end, process, target.life, context=process.context
+            )
+
+    def see_end(self, process, life: model.Life) -> None:
+        """A node sees that its target has ended."""
+        if process.holder.life == life:
+            process.holder.on_target_ended()
+            process.ownership.news.set()
+
+    def drain(self, target: Target) -> None:
+        """A target leaves, and another starts."""
+        target.state = model.TargetState.DRAINING
+
+        def follow() -> None:
+            if target.is_up:
+                self.end_target(target, True)
+                self.start_target(target.life.member)
+
+        self.later(DRAIN_S, follow)
+
+    def beat(self, target: Target, is_extra: bool = False) -> None:
+        """A target sends a heartbeat."""
+        if not target.is_up:
+            return
+        chance = self.stream(target.life.member, "")
+        if not is_extra:
+            pause_s = mesh_world.HEARTBEAT_MS / 1_000 * chance.uniform(0.8, 1.2)
+            self.later(pause_s, self.beat, target)
+        beat = target.heartbeat(self.now_ms(), GRID, target.state)
+        self.later(
+            chance.uniform(0.0001, 0.003),
+            *(self.deliver_beat, target, beat, self.now_ms()),
+        )
+
+    def deliver_beat(self, target: Target, beat, sent_ms: float) -> None:
+        """A heartbeat arrives; a frozen node answers when it wakes."""
+        process = self.processes.get(target.life.member)
+        if process is not None and process.is_up():
+            self.loop.call_soon(
+                *(self.hear, process, target, beat, sent_ms),
+                context=process.context,
+            )
+
+    def hear(self, process, target: Target, beat, sent_ms: float) -> None:
+        """A node answers a heartbeat."""
+        holder = process.holder
+        now_ms = self.now_ms()
+        if not holder.on_heartbeat(now_ms, beat):
+            return
+        reply = holder.reply(
+            now_ms, now_ms, process.ownership.grants_until_ms()
+        )
+        chance = self.stream("", target.life.member)
+        if chance.random() < 0.05:
+            # The reply is lost.
+            return
+        self.later(
+            chance.uniform(0.0001, 0.003), self.obey, target, reply, sent_ms
+        )
+
+    def obey(self, target: Target, reply, sent_ms: float) -> None:
+        """A target takes a reply, if it came within a second."""
+        now_ms = self.now_ms()
+        is_late = now_ms - sent_ms > 1_000.0
+        if is_late or reply.holds is None or not target.is_up:
+            return
+        target.obey(now_ms, reply, sent_ms, GRID)
+        self.judge(target)
+        if target.freed:
+            self.later(FREED_BEAT_S, self.beat, target, True)
+
+    # The oracle.
+
+    def judge(self, target: Target) -> None:
+        """Checks what a target has just accepted."""
+        present = [each for each in self.targets.values() if each.is_up]
+        found = mesh_world.held_twice(self.now_ms(), present)
+        for stripe, (fence, _) in target.holds.items():
+            known, owner = self.tokens.get(stripe, (0, target.life))
+            if owner != target.life and fence <= known:
+                found.append(
+                    f"{self.now_ms():.0f}: {target.life.member} got {stripe} at"
+                    f" {fence}, not above {known} of {owner.member}"
+                )
+            if fence >= known:
+                self.tokens[stripe] = (fence, target.life)
+        for fault in found:
+            self.note("FAULT", text=fault)
+        self.faults += found
+
+    def all_held(self) -> bool:
+        """Whether targets hold all keys."""
+        held = sum(
+            len(target.held(self.now_ms()))
+            for target in self.targets.values()
+            if target.is_up
+        )
+        return held == STRIPES
+
+    def recovers(self) -> bool:
+        """Ends all faults; whether all keys are held some time later."""
+        self.cut.clear()
+        self.blind.clear()
+        self.apart.clear()
+        for name in self.names:
+            if not self.targets[name].is_up:
+                self.start_target(name)
+        self.note("healed")
+        self.run(RECOVERY_S)
+        # A key may be on its way from one target to another.
+        for _ in range(20):
+            if self.all_held():
+                return True
+            self.run(0.5)
+        return False
+
+    # Faults.
+
+    def disturb(self) -> None:
+        """Brings about one fault."""
+        name = self.chance.choice(self.names)
+        kind = self.chance.choice(KINDS)
+        amount = self.chance.random()
+        process = self.processes.get(name)
+        target = self.targets[name]
+        if process is None:
+            return
+        if kind == "restore":
+            age_s = self.chance.choice(COPY_AGES_S)
+            self.restore(age_s, self.chance.choice(AWAY_S))
+            return
+        self.note(kind, node=name, amount=round(amount, 2))
+        if kind == "freeze" and process.is_up():
+            process.freeze(0.2 + 9.0 * amount)
+        elif kind == "restart":
+            self.kill(name, 0.05 + 4.0 * amount)
+        elif kind == "restart_all":
+            for other in self.names:
+                self.kill(other, self.chance.uniform(0.05, 2.0))
+        elif kind == "cut" and not self.cut:
+            self.cut.add(name)
+        elif kind == "blind":
+            self.blind.add(name)
+        elif kind == "part":
+            others = [other for other in self.names if other != name]
+            for other in self.chance.sample(others, len(others) - 1):
+                self.apart.add(frozenset((name, other)))
+        elif kind == "heal":
+            # The way to the store may come back later than that to peers.
+            self.blind = set(self.cut) if amount < 0.5 else set()
+            self.cut.clear()
+            self.apart.clear()
+        elif kind == "crash":
+            self.end_target(target, amount < 0.5)
+        elif kind == "start" and not target.is_up:
+            self.start_target(name)
+        elif kind == "drain" and target.is_up:
+            self.drain(target)
+        elif kind == "weigh":
+            process.weight = 0.4 + amount
+
+
+def take_answer(answered: asyncio.Future, answer) -> None:
+    """An answer of the store arrives; None is the end of its connection."""
+    if answered.done():
+        return
+    if answer is None:
+        answered.set_exception(http_client.BrokenError("cut"))
+    else:
+        answered.set_result(answer)
+
+
+def play(seed: int, disturbances: int = 25, lines: list | None = None) -> World:
+    """Plays one seed; what must not be is in the world's faults."""
+    world = World(seed, lines=lines)
+    world.run(world.chance.choice((2.0, 6.0, 12.0)))
+    for _ in range(disturbances):
+        world.disturb()
+        world.run(world.chance.uniform(0.05, 3.0))
+    if not world.recovers():
+        missing = set(range(STRIPES)).difference(
+            *(t.held(world.now_ms()) for t in world.targets.values() if t.is_up)
+        )
+        world.faults.append(f"not held again: {sorted(missing)}")
+    world.faults += [str(error) for error in world.loop.errors]
+    if world.counts["fault"]:
+        world.faults.append("a task of a node has failed")
+    world.loop.close()
+    return world
--- a/tests/common/mesh_world.py
+++ b/tests/common/mesh_world.py
@@ -6,6 +6,7 @@
 file only carries their messages and keeps the oracle.
 """
 
+from collections.abc import Iterable
 import heapq
 import random
 
@@ -41,6 +42,66 @@
         }
         return self.holds
 
+    def heartbeat(
+        self,
+        now_ms: float,
+        table: table_module.KeyTable,
+        state: model.TargetState = model.TargetState.READY,
+    ) -> model.Heartbeat:
+        """Its next heartbeat; the stripes are those of a table."""
+        self.sequence += 1
+        holds = [
+            model.HeldRange(*table.span(stripe), fence)
+            for stripe, (fence, _) in self.held(now_ms).items()
+        ]
+        return mesh.heartbeat(
+            self.life.member,
+            self.sequence,
+            started_ms=self.life.started_ms,
+            holds=holds,
+            freed=list(self.freed),
+            state=state,
+        )
+
+    def obey(
+        self,
+        now_ms: float,
+        reply: model.HeartbeatReply,
+        sent_ms: float,
+        table: table_module.KeyTable,
+    ) -> None:
+        """Takes the reply to a heartbeat that it sent at `sent_ms`."""
+        self.freed.clear()
+        until_ms = sent_ms + reply.hold_ms * self.rate
+        wanted = {
+            stripe: row.fence
+            for row in reply.holds
+            for stripe in range(
+                table.stripe_of(row.first), table.stripe_of(row.last) + 1
+            )
+        }
+        for stripe in sorted(set(self.held(now_ms)) - set(wanted)):
+            first, last = table.span(stripe)
+            self.freed.append(model.FreedRange(first, last, "h"))
+            del self.holds[stripe]
+        for stripe, fence in wanted.items():
+            self.holds[stripe] = (fence, until_ms)
+
+
+def held_twice(now_ms: float, targets: Iterable[Target]) -> list[str]:
+    """Stripes that two of the targets hold now, and which ones."""
+    found = []
+    owners: dict[int, str] = {}
+    for target in targets:
+        for stripe in target.held(now_ms):
+            if stripe in owners:
+                found.append(
+                    f"{now_ms:.0f}: {stripe} at {owners[stripe]} and"
+                    f" {target.life.member}"
+                )
+            owners[stripe] = target.life.member
+    return found
+
 
 class Node:
     """A node's parts; a restart makes new ones."""
@@ -113,17 +174,8 @@
 
     def judge(self) -> None:
         """The oracle: no stripe is held by two targets that are up."""
-        owners: dict[int, str] = {}
-        for target in self.targets.values():
-            if target is None:
-                continue
-            for stripe in target.held(self.now_ms):
-                if stripe in owners:
-                    self.faults.append(
-                        f"{self.now_ms:.0f}: {stripe} at {owners[stripe]} and"
-                        f" {target.life.member}"
-                    )
-                owners[stripe] = target.life.member
+        present = filter(None, self.targets.values())
+        self.faults += held_twice(self.now_ms, present)
 
     def write_record(self, name: str, record: model.Member) -> None:
         """Writes a node's record."""
@@ -294,18 +346,7 @@
         target = self.targets[name]
         if target is None:
             return
-        target.sequence += 1
-        holds = [
-            model.HeldRange(*self.table.span(stripe), fence)
-            for stripe, (fence, _) in target.held(self.now_ms).items()
-        ]
-        beat = mesh.heartbeat(
-            name,
-            target.sequence,
-            started_ms=target.life.started_ms,
-            holds=holds,
-            freed=list(target.freed),
-        )
+        beat = target.heartbeat(self.now_ms, self.table)
         self.at(
             self.chance.uniform(0.1, 3),
             self.heard,
@@ -342,22 +383,7 @@
         if self.chance.random() < 0.08:
             # The reply was lost on its way.
             return
-        target.freed.clear()
-        until_ms = sent_ms + reply.hold_ms * target.rate
-        wanted = {
-            stripe: row.fence
-            for row in reply.holds
-            for stripe in range(
-                self.table.stripe_of(row.first),
-                self.table.stripe_of(row.last) + 1,
-            )
-        }
-        for stripe in set(target.held(self.now_ms)) - set(wanted):
-            first, last = self.table.span(stripe)
-            target.freed.append(model.FreedRange(first, last, "h"))
-            del target.holds[stripe]
-        for stripe, fence in wanted.items():
-            target.holds[stripe] = (fence, until_ms)
+        target.obey(self.now_ms, reply, sent_ms, self.table)
 
     def disturb(self) -> None:
         """Brings about one fault, or a planned move."""
