Wait a term again before a table is settled in a further era

Callers would see two targets that serve one key, and a token that was given out twice.

Change: the wait begins with the last era that the node has heard of.

--- a/src/auburnrock/engine/mesh/restoring.py
+++ b/src/auburnrock/engine/mesh/restoring.py
@@ -124,17 +124,26 @@
     return min(before * PUT_BACK_EVERY_MS, PUT_BACK_LAST_MS)
 
 
-def may_settle(waited_ms: float, term_ms: float, own_turn_ms: float) -> bool:
+def may_settle(
+    now_ms: float,
+    unsettled_ms: float,
+    era_ms: float,
+    term_ms: float,
+    own_turn_ms: float,
+) -> bool:
     """Whether a table may be written in the store's era.
 
     Who knows a later version and has not put it back within a term is cut off:
     witnesses renew no term of the era before, and no grant outlasts its lease.
 
     Args:
-      waited_ms: for how long the table has been known to be unsettled.
+      now_ms: the time.
+      unsettled_ms: since when the table has been known to be unsettled.
+      era_ms: when the node heard of the restore; the last of several counts.
       term_ms: of a lease.
       own_turn_ms: how long this node waits for others.
     """
+    waited_ms = now_ms - max(unsettled_ms, era_ms)
     return waited_ms >= term_ms * holder_module.SLOW_CLOCK + own_turn_ms
 
 
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -236,7 +236,9 @@
         if self.unsettled_since_ms is None:
             self.unsettled_since_ms = now_ms
         if restoring.may_settle(
-            now_ms - self.unsettled_since_ms,
+            now_ms,
+            self.unsettled_since_ms,
+            self.parts.era_ms,
             self.lease.term_ms,
             self._turn_ms(),
         ):
