Give tokens above the lost ones after a restore

Callers may have writes refused, or taken from a former holder: a key was given with a token below one that was given out before.

Ruled out: raising the tokens of all stripes, which would change the token of all that targets hold. Change: a settled table has a floor, and what a target does not report is granted at least with that; what it reports keeps the higher of the table's token and its own.

--- a/src/auburnrock/engine/mesh/holder.py
+++ b/src/auburnrock/engine/mesh/holder.py
@@ -215,8 +215,12 @@
     def _row(self, index: int) -> model.HeldRange:
         first, last = self.table.span(index)
         stripe = self.table.stripes[index]
-        handover = "" if self._is_reported(index) else stripe.handover
-        return model.HeldRange(first, last, stripe.fence, handover)
+        if self._is_reported(index):
+            # After a restore it may be above the table's.
+            fence = max(stripe.fence, self.reported[index])
+            return model.HeldRange(first, last, fence)
+        fence = max(stripe.fence, self.table.floor)
+        return model.HeldRange(first, last, fence, stripe.handover)
 
     def _is_held(self, row: model.HeldRange) -> bool:
         return any(map(self._is_reported, self._stripes_in(row)))
--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -64,6 +64,8 @@
       stripes: in the order of their keys.
       run: stripes of a run; moves for the shares' sake keep it together.
       era: the store's era in which it was last changed.
+      floor: above every token that was given out in earlier eras. The lost
+        versions may have given a stripe to others since its own token.
     """
 
     version: int
@@ -71,6 +73,7 @@
     stripes: tuple[Stripe, ...]
     run: int = 1
     era: int = 0
+    floor: int = 0
 
     def rank(self) -> tuple[int, int]:
         """Orders versions of one table."""
@@ -138,12 +141,14 @@
       stripes: first index and count of neighbours that differ and become
         alike, and what they become.
       era: of the later one.
+      floor: of the later one.
     """
 
     version: int
     lives: tuple[model.Life, ...]
     stripes: tuple[tuple[int, int, Stripe], ...]
     era: int = 0
+    floor: int = 0
 
 
 def difference(before: KeyTable, after: KeyTable) -> TableChange | None:
@@ -167,7 +172,9 @@
                 continue
         stripes.append((index, 1, stripe))
     lives = () if after.lives == before.lives else after.lives
-    return TableChange(after.version, lives, tuple(stripes), after.era)
+    return TableChange(
+        after.version, lives, tuple(stripes), after.era, after.floor
+    )
 
 
 def applied(before: KeyTable, change: TableChange) -> KeyTable:
@@ -177,7 +184,12 @@
     for first, count, stripe in change.stripes:
         stripes[first : first + count] = [stripe] * count
     return KeyTable(
-        change.version, lives, tuple(stripes), before.run, change.era
+        change.version,
+        lives,
+        tuple(stripes),
+        before.run,
+        change.era,
+        change.floor,
     )
 
 
@@ -191,8 +203,9 @@
 
 def settled(table: KeyTable, era: int) -> KeyTable:
     """The same ownership in a later era of the store."""
+    version = table.version + ERA_STEP
     return msgspec.structs.replace(
-        table, version=table.version + ERA_STEP, era=era
+        table, version=version, era=era, floor=version
     )
 
 
@@ -260,18 +273,14 @@
             if stripe.owner in crowded and index not in moves:
                 # With one token, its neighbouring stripes fit one row.
                 stripes[index] = Stripe(stripe.owner, version)
-    later = KeyTable(
-        version, tuple(lives), tuple(stripes), table.run, table.era
+    later = msgspec.structs.replace(
+        table, version=version, lives=tuple(lives), stripes=tuple(stripes)
     )
     if len(rows) == len(lives):
         return later
     owners = tuple(life for place, life in enumerate(lives) if rows[place])
-    return KeyTable(
-        version,
-        owners,
-        tuple(_renumbered(later, owners)),
-        table.run,
-        table.era,
+    return msgspec.structs.replace(
+        later, lives=owners, stripes=tuple(_renumbered(later, owners))
     )
 
 
--- a/tests/cover/test_mesh_restoring.py
+++ b/tests/cover/test_mesh_restoring.py
@@ -1,8 +1,11 @@
 """Rules about a restored store, each from a schedule that the search found."""
 
 from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import holder as holder_module
 from auburnrock.engine.mesh import lease as lease_module
+from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import restoring
+from auburnrock.engine.mesh import table as table_module
 from tests.common import mesh
 
 
@@ -34,3 +37,48 @@
     assert may_settle(10_000.0, 1_000.0)
     assert not may_settle(10_000.0, 9_900.0)
     assert may_settle(10_000.0 + mesh.TERM_MS, 9_800.0)
+
+
+def settled_holder():
+    """A node that owns all stripes by a table that was settled in era 1."""
+    holder = holder_module.Holder("a", mesh.HOLD_MS, 0.0)
+    table = table_module.first_table([mesh.life("a")] * 4)
+    holder.take_table(table_module.settled(table, 1))
+    return holder
+
+
+def fences(holder):
+    return {row.fence for row in holder.rows()}
+
+
+def test_a_grant_after_a_restore_has_a_token_above_all_lost_ones():
+    """A lost version had given the key to another, with a higher token than
+    the one in the restored table (seed 49)."""
+    holder = settled_holder()
+    holder.on_heartbeat(0.0, mesh.heartbeat("a", 1))
+    assert fences(holder) == {holder.table.floor}
+    assert holder.table.floor > table_module.ERA_STEP
+
+
+def test_what_a_target_holds_keeps_its_token_after_a_restore():
+    holder = settled_holder()
+    held = [model.HeldRange(0, model.KEYS - 1, 1)]
+    holder.on_heartbeat(0.0, mesh.heartbeat("a", 1, holds=held))
+    assert fences(holder) == {1}
+
+
+def test_what_a_target_holds_by_a_lost_version_keeps_its_token():
+    """It takes no row with a token below one that it has seen."""
+    holder = settled_holder()
+    held = [model.HeldRange(0, model.KEYS - 1, 9)]
+    holder.on_heartbeat(0.0, mesh.heartbeat("a", 1, holds=held))
+    assert fences(holder) == {9}
+
+
+def test_a_change_of_a_settled_table_tells_of_its_floor():
+    before = table_module.first_table([mesh.life("a")] * 4)
+    after = table_module.settled(before, 1)
+    change = table_module.difference(before, after)
+    assert table_module.applied(before, change) == after
+    moved = table_module.changed(after, {0: (mesh.life("b"), "")})
+    assert moved.floor == after.floor
