Raise a settled table by a step for each era since

Callers may have writes refused: a token was given out twice.

Ruled out: the floor of tokens, which is the version. Change: the version rises by a step for each era since the table's own. A copy of a state that an earlier restore had lost is not modelled.

--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -37,8 +37,8 @@
 """Stripes of a run where the bounds allow it."""
 
 ERA_STEP = 1 << 14
-"""How much the version rises in the first change of an era: one table does not
-change as often within the age of a copy. Tokens take 3 bytes up to 2^16."""
+"""How much the version rises with each era: one table does not change as often
+within the age of a copy. Tokens take 3 bytes up to 2^16."""
 
 
 class Stripe(msgspec.Struct, frozen=True, array_like=True):
@@ -202,8 +202,11 @@
 
 
 def settled(table: KeyTable, era: int) -> KeyTable:
-    """The same ownership in a later era of the store."""
-    version = table.version + ERA_STEP
+    """The same ownership in a later era of the store.
+
+    The versions of each era since that of the table may be lost.
+    """
+    version = table.version + (era - table.era) * ERA_STEP
     return msgspec.structs.replace(
         table, version=version, era=era, floor=version
     )
--- a/tests/cover/test_mesh_restoring.py
+++ b/tests/cover/test_mesh_restoring.py
@@ -82,3 +82,14 @@
     assert table_module.applied(before, change) == after
     moved = table_module.changed(after, {0: (mesh.life("b"), "")})
     assert moved.floor == after.floor
+
+
+def test_a_copy_that_is_older_than_several_restores_gives_no_token_again():
+    """The table had been settled in each of three eras, and the copy was from
+    before all of them (seed 115)."""
+    copied = table_module.first_table([mesh.life("a")] * 4)
+    lost = copied
+    for era in (1, 2, 3):
+        lost = table_module.settled(lost, era)
+    assert table_module.settled(copied, 4).version > lost.version
+    assert table_module.settled(lost, 4) == table_module.settled(copied, 4)
