Count a lease without witnesses from the store's last answer

Callers would see two targets that serve one key.

Ruled out: an era that witnesses compare, as there are none. Change: such a lease counts from the sending of the last call that the store answered, and is not renewed once another era is known; a node that knows no other goes on through an outage as before.

--- a/src/auburnrock/engine/mesh/coordination.py
+++ b/src/auburnrock/engine/mesh/coordination.py
@@ -99,11 +99,13 @@
 
     Attributes:
       answered_ms: when it last answered a call; 0 before.
+      asked_ms: when the latest call that it has answered was sent; 0 before.
       era: the latest era that an answer or a peer has named; 0 before.
       on_era: takes the era whenever it rises.
     """
 
     answered_ms: float
+    asked_ms: float
     era: int
     on_era: Callable[[int], None]
 
--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -120,14 +120,21 @@
         present_ms, proposed_ms = map(self._ends_ms, self.witnesses)
         return proposed_ms >= present_ms
 
-    def ask(self, now_ms: float) -> set[str]:
-        """Witnesses to ask for a renewal now."""
+    def ask(self, now_ms: float, solo_from_ms: float | None = None) -> set[str]:
+        """Witnesses to ask for a renewal now.
+
+        Args:
+          now_ms: the time.
+          solo_from_ms: from when a term without witnesses counts; None is now.
+        """
         if not self.term or now_ms < self.due_ms:
             return set()
         self.due_ms = now_ms + RENEW_EVERY_MS
         if self.witnesses == [()]:
             # Not while witnesses are proposed: they could never catch up.
-            self.solo_until_ms = now_ms + self.term_ms * (1.0 - 2.0 * DRIFT)
+            from_ms = now_ms if solo_from_ms is None else solo_from_ms
+            until_ms = from_ms + self.term_ms * (1.0 - 2.0 * DRIFT)
+            self.solo_until_ms = max(self.solo_until_ms, until_ms)
         return self.asked()
 
     def asked(self) -> set[str]:
--- a/src/auburnrock/engine/mesh/restoring.py
+++ b/src/auburnrock/engine/mesh/restoring.py
@@ -8,6 +8,8 @@
 at witnesses that had not heard of the era either.
 """
 
+import math
+
 from auburnrock.engine.mesh import coordination
 from auburnrock.engine.mesh import holder as holder_module
 from auburnrock.engine.mesh import model
@@ -57,6 +59,26 @@
     return found != own or _is_later_era(revision, own_revision)
 
 
+def solo_from_ms(
+    now_ms: float, asked_ms: float, term: int, era: int, is_alone: bool
+) -> float:
+    """From when the lease of a node without witnesses counts.
+
+    The store may have been restored and lack the node's record since it last
+    answered, and others give the node's keys away a term later.
+
+    Args:
+      now_ms: the time.
+      asked_ms: when the last call that the store answered was sent.
+      term: of the lease.
+      era: of the store.
+      is_alone: whether no other node is known.
+    """
+    if coordination.era_of(term) < era:
+        return -math.inf
+    return now_ms if is_alone else asked_ms
+
+
 def lost_table(
     newest: table_module.KeyTable | None, found: table_module.KeyTable
 ) -> table_module.KeyTable | None:
--- a/src/auburnrock/platform/store.py
+++ b/src/auburnrock/platform/store.py
@@ -101,6 +101,7 @@
         self.now_ms = now_ms
         self.calls = 0
         self.answered_ms = 0.0
+        self.asked_ms = 0.0
         self.era = 0
         self.has_era = False
         self.marked_era = -1
@@ -239,6 +240,7 @@
         self, method: bytes, path: str, body: bytes, timeout_s: float
     ) -> http_client.Answer:
         self.calls += 1
+        asked_ms = self.now_ms()
         try:
             connection = await self.client.connect(http_client.IDLE_DEFAULT_MS)
         except http_client.RefusedError as error:
@@ -266,6 +268,7 @@
                 f"refused with {answer.status}: {text}"
             )
         self.answered_ms = self.now_ms()
+        self.asked_ms = max(self.asked_ms, asked_ms)
         return answer
 
     def _items(self, wire: list[_Item]) -> list[coordination.Item]:
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -239,7 +239,14 @@
 
     def ask_witnesses(self, now_ms: float) -> None:
         """Asks for the renewals that are due."""
-        for name in self.lease.ask(now_ms):
+        solo_from_ms = restoring.solo_from_ms(
+            now_ms,
+            self.store.asked_ms,
+            self.lease.term,
+            self.store.era,
+            is_alone=not self.view.members.keys() - {self.name},
+        )
+        for name in self.lease.ask(now_ms, solo_from_ms):
             link = self.hub.links.get(name)
             if link is not None:
                 link.ping()
--- a/src/auburnrock/shells/mesh/relay.py
+++ b/src/auburnrock/shells/mesh/relay.py
@@ -50,6 +50,11 @@
         """When the store last answered a call of this node."""
         return self.own.answered_ms
 
+    @property
+    def asked_ms(self) -> float:
+        """When the latest call that the store has answered was sent."""
+        return self.own.asked_ms
+
     @property
     def era(self) -> int:
         """The latest era that the store has named to this node."""
--- a/tests/cover/test_mesh_restoring.py
+++ b/tests/cover/test_mesh_restoring.py
@@ -93,3 +93,30 @@
         lost = table_module.settled(lost, era)
     assert table_module.settled(copied, 4).version > lost.version
     assert table_module.settled(lost, 4) == table_module.settled(copied, 4)
+
+
+def solo_from_ms(era, is_alone):
+    return restoring.solo_from_ms(9_000.0, 5_000.0, term(1, 7), era, is_alone)
+
+
+def test_a_lease_without_witnesses_counts_from_the_last_answer_of_the_store():
+    """A node that was cut off went on, its record was lost in a restore, and
+    its keys went to others (seed 96)."""
+    lease = lease_module.Lease("a", mesh.TERM_MS)
+    lease.begin_term(term(1, 7), ())
+    lease.ask(9_000.0, solo_from_ms(1, is_alone=False))
+    assert 5_000.0 < lease.ends_ms() <= 5_000.0 + mesh.TERM_MS
+    # An older answer shortens nothing.
+    lease.ask(9_900.0, 1_000.0)
+    assert lease.ends_ms() > 9_000.0
+
+
+def test_a_lease_without_witnesses_is_not_renewed_in_another_era():
+    lease = lease_module.Lease("a", mesh.TERM_MS)
+    lease.begin_term(term(1, 7), ())
+    lease.ask(9_000.0, solo_from_ms(2, is_alone=False))
+    assert lease.ends_ms() == 0.0
+
+
+def test_an_outage_of_the_store_ends_no_lease_of_a_node_that_is_alone():
+    assert solo_from_ms(1, is_alone=True) == 9_000.0
