Forget what a peer told a starting node if the store lacks it

Callers would see keys that nobody serves until a node is started again.

Ruled out: the peers, which were cut off from the store and could not know. Change: what a peer tells in place of a listing is noted as known, so the listing removes it.

--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -391,7 +391,7 @@
             self.on_operator_items(items, 0)
         if not self.ownership.witness.ready:
             prefix = self.dialect.own_prefix
-            self.ownership.take_items(
+            self.telling.take_snapshot(
                 [item for item in items if item.key.startswith(prefix)]
             )
         self.hub.take_differing("", snapshot.entries)
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -237,6 +237,16 @@
         self.snapshots_asked += 1
         return self.snapshots_asked <= SNAPSHOTS
 
+    def take_snapshot(self, items: list[coordination.Item]) -> None:
+        """Takes items as a peer knows them, before the store was read.
+
+        The peer may not know of a restore; what the first listing lacks is
+        removed by it.
+        """
+        for item in items:
+            self.own_sync.note_told(item.key, item.revision)
+        self.ownership.take_items(items)
+
     def on_stranger(
         self, name: str, connection: frames.FrameConnection
     ) -> None:
--- a/tests/common/mesh_restore_node.py
+++ b/tests/common/mesh_restore_node.py
@@ -418,7 +418,7 @@
         pong = peering.Pong(sent_ms, term, mesh.report(), None)
         self.ownership.on_pong(name, pong)
         if items and not self.ownership.witness.ready:
-            self.ownership.take_items(items)
+            self.telling.take_snapshot(items)
 
     def on_news(self, giver: str, message: peering.Message) -> None:
         """Takes what a neighbour tells of the store."""
--- a/tests/cover/test_mesh_restore_search.py
+++ b/tests/cover/test_mesh_restore_search.py
@@ -10,6 +10,7 @@
     28: "a witness renewed a term of an earlier era, its record lost",
     47: "a table was settled at once, as it was unsettled in the era before",
     49: "a token of the restored table was below one that the store had lost",
+    58: "a peer's items of an earlier era stayed, and no change was made",
     96: "a lease without witnesses went on, its record lost",
     115: "the copy was older than three settled versions of the table",
 }
