Grant only what is held after a term that ended before a restore

Callers would see two targets that serve one key, and a lower token.

Ruled out: the order of tables, as the later one was put back 0.6 s after. Change: where the era has changed, such a record is kept only while the lease is live, as everywhere else; and a node that begins a term while its table is unsettled grants only what its target reports.

--- a/src/auburnrock/engine/mesh/restoring.py
+++ b/src/auburnrock/engine/mesh/restoring.py
@@ -79,6 +79,27 @@
     return now_ms if is_alone else asked_ms
 
 
+def resolves_witnesses(
+    wanted: model.Member,
+    own_revision: int,
+    found: model.Member,
+    revision: int,
+    is_live: bool,
+) -> bool:
+    """Whether a change of the witnesses was made, and the term goes on.
+
+    Args:
+      wanted: the record as the change has it.
+      own_revision: of the record before the change.
+      found: the record in the store.
+      revision: of that.
+      is_live: whether the node's lease is live.
+    """
+    if _is_later_era(revision, own_revision):
+        return keeps_record(wanted, own_revision, found, revision, is_live)
+    return found == wanted
+
+
 def lost_table(
     newest: table_module.KeyTable | None, found: table_module.KeyTable
 ) -> table_module.KeyTable | None:
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -324,6 +324,9 @@
             return
         if not self.record.revision:
             await self.record.register()
+            if self.is_unsettled(self.settings.service):
+                # A takeover since the last term may be lost.
+                self.holder.reported_only = True
             # Witnesses that are no neighbours are connected to from here on.
             self.hub.tick(at_once=True)
             self.ask_witnesses(self.now_ms())
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -205,7 +205,10 @@
                         return
                     continue
                 found = view_module.decode_member(item.value)
-                if found == record:
+                is_live = self.lease.ends_ms() > self.now_ms()
+                if restoring.resolves_witnesses(
+                    record, revision, found, item.revision, is_live
+                ):
                     self._settle_record(record, item.revision)
                 else:
                     self.lose("record_replaced", item.revision)
--- a/tests/cover/test_mesh_restore_search.py
+++ b/tests/cover/test_mesh_restore_search.py
@@ -13,6 +13,7 @@
     58: "a peer's items of an earlier era stayed, and no change was made",
     96: "a lease without witnesses went on, its record lost",
     115: "the copy was older than three settled versions of the table",
+    208: "a node went on by its old table, its term over, a takeover lost",
 }
 """Seeds that found a fault, and its cause."""
 
--- a/tests/cover/test_mesh_restoring.py
+++ b/tests/cover/test_mesh_restoring.py
@@ -120,3 +120,18 @@
 
 def test_an_outage_of_the_store_ends_no_lease_of_a_node_that_is_alone():
     assert solo_from_ms(1, is_alone=True) == 9_000.0
+
+
+def test_a_term_that_had_ended_does_not_go_on_when_its_record_is_back():
+    """A node tried for long to learn what became of a change of witnesses; a
+    takeover in between was lost, and it granted by its old table (seed 208)."""
+    record = mesh.member("a", witnesses=("b",))
+
+    def goes_on(found, is_live):
+        return restoring.resolves_witnesses(
+            record, term(0, 7), record, found, is_live
+        )
+
+    assert goes_on(term(0, 8), is_live=False)
+    assert goes_on(term(1, 8), is_live=True)
+    assert not goes_on(term(1, 8), is_live=False)
