Keep a lease while new witnesses are asked to renew it

Cause: both sets had to renew from the moment that the new one was proposed. Safety does not ask for it: until the change is sent, only the present set can be sealed, and it is sent only once the new set's renewals last as long as the present set's. Change: a proposed set is asked and counts only from the sending of the change on. The test that both sets must renew while a change is open now opens it, as the shell does; a new one says that a proposal neither ends nor keeps a lease.

--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -53,6 +53,7 @@
       term: revision of the record as last written; 0 before.
       first_term: revision with which the present unbroken term began.
       witnesses: sets of which a majority each must have renewed.
+      proposed: set that is asked too and not yet written; None without one.
       renewed_ms: when the renewal that each witness confirmed was sent.
       solo_until_ms: end of a lease that needed no witness.
       due_ms: when to ask next.
@@ -62,6 +63,7 @@
         "due_ms",
         "first_term",
         "name",
+        "proposed",
         "renewed_ms",
         "solo_until_ms",
         "term",
@@ -75,6 +77,7 @@
         self.term = 0
         self.first_term = 0
         self.witnesses: list[tuple[str, ...]] = []
+        self.proposed: tuple[str, ...] | None = None
         self.renewed_ms: dict[str, float] = {}
         self.solo_until_ms = 0.0
         self.due_ms = 0.0
@@ -86,16 +89,25 @@
         self.term = term
         self.first_term = term
         self.witnesses = [witnesses]
+        self.proposed = None
 
     def end_term(self) -> None:
         """The record is sealed, gone or another's: nothing is held any more."""
         self.term = 0
         self.witnesses = []
+        self.proposed = None
         self.renewed_ms.clear()
 
     def propose(self, witnesses: tuple[str, ...]) -> None:
-        """Asks another set too, before it is written."""
-        self.witnesses = [self.witnesses[0], witnesses]
+        """Asks another set too, before it is written.
+
+        The present one alone keeps the lease: only it can be sealed.
+        """
+        self.proposed = witnesses
+
+    def open_change(self) -> None:
+        """The proposed set is about to be written: both must renew."""
+        self.witnesses = [self.witnesses[0], self.proposed]
 
     def settle(self, term: int, witnesses: tuple[str, ...]) -> None:
         """Takes the outcome of a change of the witnesses in the same term.
@@ -105,6 +117,7 @@
         """
         self.term = term
         self.witnesses = [witnesses]
+        self.proposed = None
 
     def ends_ms(self) -> float:
         """When the lease ends without another renewal; 0 without a term."""
@@ -114,24 +127,24 @@
 
     def proposal_ready(self) -> bool:
         """Whether the proposed set has renewed as long as the present one."""
-        if len(self.witnesses) < 2:
+        if self.proposed is None:
             return False
-        present_ms, proposed_ms = map(self._ends_ms, self.witnesses)
-        return proposed_ms >= present_ms
+        return self._ends_ms(self.proposed) >= self._ends_ms(self.witnesses[0])
 
     def ask(self, now_ms: float) -> set[str]:
         """Witnesses to ask for a renewal now."""
         if not self.term or now_ms < self.due_ms:
             return set()
         self.due_ms = now_ms + RENEW_EVERY_MS
-        if self.witnesses == [()]:
+        if self.witnesses == [()] and self.proposed is None:
             # Not while witnesses are proposed: they could never catch up.
             self.solo_until_ms = now_ms + self.term_ms * (1.0 - 2.0 * DRIFT)
         return self.asked()
 
     def asked(self) -> set[str]:
         """All witnesses, proposed ones too."""
-        return {witness for group in self.witnesses for witness in group}
+        groups = [*self.witnesses, self.proposed or ()]
+        return {witness for group in groups for witness in group}
 
     def on_renewed(self, witness: str, term: int, sent_ms: float) -> None:
         """Takes a witness's confirmation of a renewal sent at `sent_ms`."""
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -256,7 +256,7 @@
 
     def term_for(self, name: str) -> int:
         """Term to renew at a peer; 0 if it is no witness."""
-        if any(name in group for group in self.lease.witnesses):
+        if name in self.lease.asked():
             return self.lease.term
         return 0
 
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -159,7 +159,7 @@
         self.lease.propose(wanted)
         for _ in range(20):
             await asyncio.sleep(parts_module.TICK_S)
-            if len(self.lease.witnesses) < 2 or not self.revision:
+            if self.lease.proposed is None or not self.revision:
                 return
             if self.lease.proposal_ready():
                 break
@@ -167,6 +167,7 @@
             self.log.write("witnesses_unwilling", witnesses=wanted)
             self.lease.settle(self.lease.term, self.record.witnesses)
             return
+        self.lease.open_change()
         record = msgspec.structs.replace(self.record, witnesses=wanted)
         key = self.view.member_key(self.name)
         revision = self.revision
--- a/tests/cover/test_mesh_lease.py
+++ b/tests/cover/test_mesh_lease.py
@@ -48,11 +48,25 @@
     assert lease.ends_ms() == 0.0
 
 
+def test_a_proposed_set_is_asked_and_ends_no_lease():
+    lease = leased(witnesses=("b", "c", "d"))
+    for name in ("b", "c"):
+        lease.on_renewed(name, 10, 1_000.0)
+    lease.propose(("d", "e", "f"))
+    assert lease.ask(1_100.0) == {"b", "c", "d", "e", "f"}
+    assert lease.ends_ms() == 1_000.0 + mesh.TERM_MS * 0.98
+    # Nor does it keep one.
+    for name in ("e", "f"):
+        lease.on_renewed(name, 10, 1_100.0)
+    assert lease.ends_ms() == 1_000.0 + mesh.TERM_MS * 0.98
+
+
 def test_while_a_change_is_open_both_sets_must_renew():
     lease = leased(witnesses=("b", "c", "d"))
     for name in ("b", "c"):
         lease.on_renewed(name, 10, 1_000.0)
     lease.propose(("d", "e", "f"))
+    lease.open_change()
     assert lease.ends_ms() == 0.0
     lease.on_renewed("e", 10, 500.0)
     lease.on_renewed("f", 10, 500.0)
--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -5,6 +5,7 @@
 import pytest_asyncio
 
 from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import lease as lease_module
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
 from auburnrock.shells.mesh import takeover as takeover_module
@@ -46,6 +47,40 @@
     )
 
 
+async def test_a_node_that_gets_witnesses_keeps_its_lease(
+    fleet, oracle, monkeypatch
+):
+    """It lost it for up to 0.3 s, until the new ones had renewed it."""
+    propose = lease_module.Lease.propose
+    ends = []
+    writing = []
+
+    def note_ends(self, witnesses):
+        before_ms = self.ends_ms()
+        propose(self, witnesses)
+        ends.append((before_ms, self.ends_ms()))
+
+    monkeypatch.setattr(lease_module.Lease, "propose", note_ends)
+    joined = mesh_fleet.Host(fleet, 5, "portal")
+    fleet.hosts.append(joined)
+    await joined.start_node()
+    own = joined.node.ownership.record
+    change = own.store.change
+
+    async def note_sets(expected, puts, removes):
+        if own.revision and own.revision in expected.values():
+            writing.append(list(own.lease.witnesses))
+        return await change(expected, puts, removes)
+
+    own.store.change = note_sets
+    oracle.watch(await joined.start_target())
+    await fleet.until(lambda: own.record and own.record.witnesses)
+    assert ends
+    assert [after_ms for _, after_ms in ends] == [before for before, _ in ends]
+    # While they are written, a seal by either set must find the lease over.
+    assert {len(sets) for sets in writing} == {2}
+
+
 async def test_the_keys_of_a_crashed_target_are_served_by_the_others(
     fleet, oracle
 ):
