Close connections that their openers no longer know of

What callers would see: nothing, until a node that has run for long is out of descriptors. A host that is lost without power, or a connection that goes silent for good, leaves the other end open: the node that opened a connection watches it, the one that took it does not, and sends nothing on it unless it is asked. Cause: only the end of a connection took it off the list of those that others have opened. Each loss kept one for as long as the process lives. The class, turned round: what one node does not hear was never taken for gone. Ruled out: that it ends work: what is at a target ends with its own deadline, and an outcome that nobody acknowledges ends its connection after 2 s. That the opener may be quiet for so long: it pings each second while it needs the connection, and closes it 12 s after it was used last. Change: a connection that nothing has come on for 24 s is closed. Not mended: one that ends before its first message is not on the list. Tests: test_a_connection_that_its_opener_no_longer_knows_is_closed failed 3 of 3 before (open after 5 s, with the limit at 1.5 s) and passes 3 of 3.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -33,6 +33,10 @@
 """A connection without a duty is closed after this: at seven requests a second
 over 190 targets, most are asked again later than that."""
 
+DESERTED_MS = 2.0 * IDLE_MS
+"""A connection that another node has opened is closed if nothing has come on it
+for this long: that node pings on it, or closes it sooner."""
+
 RETRY_MS = 50.0
 """Between the first two attempts to connect: the nodes of a fleet that starts
 at once are there a tenth of a second apart. Later pauses are longer."""
@@ -41,6 +45,11 @@
 """The same to a node that has not answered many attempts."""
 
 
+def is_deserted(now_ms: float, heard_ms: float) -> bool:
+    """Whether the node that has opened a connection no longer knows of it."""
+    return now_ms - heard_ms > DESERTED_MS
+
+
 class Step(enum.Enum):
     """What to do with a connection now."""
 
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -49,6 +49,9 @@
 """Least time between two choices of neighbours: a fleet that starts registers
 within a second, and each choice would open other connections."""
 
+SWEEP_EVERY_MS = 1_000.0
+"""Between two looks for connections that their openers no longer know."""
+
 YOUNG_MS = 1_500.0
 """A process of this age knows the records of all nodes that started with it."""
 
@@ -154,6 +157,8 @@
         chosen.
       chosen_ms: when they were.
       compared_ms: when it last asked a neighbour for what differs.
+      swept_ms: when it last looked for connections that are no longer known at
+        their other end.
       offsets: least difference of clocks seen to each other process.
       execute: runs a request at the target, and says when it gets it.
       leaves: whether a request at a silent node is asked of another now.
@@ -211,6 +216,7 @@
         self.members_changed = False
         self.chosen_ms = now_ms()
         self.compared_ms = 0.0
+        self.swept_ms = now_ms()
         self.assigned: set[str] | None = None
         self.execute: Callable[
             [peering.Run, Callable[[], None]], Awaitable[peering.Outcome]
@@ -371,6 +377,15 @@
             if not link.step():
                 link.stop()
                 self.retired.remove(link)
+        if now_ms - self.swept_ms >= SWEEP_EVERY_MS:
+            self.swept_ms = now_ms
+            self.sweep(now_ms)
+
+    def sweep(self, now_ms: float) -> None:
+        """Closes connections of nodes that were lost without a farewell."""
+        for connection, inbound in list(self.inbound.items()):
+            if linking.is_deserted(now_ms, inbound.heard_ms):
+                connection.abort()
 
     def tell_own(self, entry: membership.Entry) -> None:
         """Spreads what this node says of itself, if it has changed."""
@@ -525,9 +540,11 @@
     ) -> None:
         """Takes what another node asks."""
         if isinstance(message, peering.Hello):
-            self.inbound[connection] = Inbound(
+            inbound = Inbound(
                 message.name, message.start, next(self.inbound_numbers)
             )
+            inbound.heard_ms = self.now_ms()
+            self.inbound[connection] = inbound
             connection.send(self.hello(self.asks_for_snapshot()))
             if message.name not in self.members:
                 self.on_stranger(message.name, connection)
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -15,6 +15,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
+from auburnrock.shells.mesh import frames
 from auburnrock.shells.mesh import link as link_module
 from auburnrock.shells.mesh import peers
 from auburnrock_standins import mesh_target
@@ -802,6 +803,28 @@
     assert not outcome.reached
 
 
+async def test_a_connection_that_its_opener_no_longer_knows_is_closed(
+    fleet, monkeypatch
+):
+    """A lost host, or a connection gone silent for good, kept one for ever."""
+    hub, other = fleet.hosts[0].node.hub, fleet.hosts[1]
+    host, _, port = other.addresses["peer"].rpartition(":")
+    gone = frames.FrameConnection(lambda *_: None, lambda _: None, {})
+    await asyncio.get_running_loop().create_connection(
+        lambda: gone, host, int(port)
+    )
+    inbound = other.node.hub.inbound
+    known = set(inbound)
+    gone.send(peering.Hello("x", "start", False, True))
+    await fleet.until(lambda: inbound.keys() - known)
+    link = hub.links[other.ip]
+    await fleet.until(link.usable)
+    connection = link.connection
+    monkeypatch.setattr(linking, "DESERTED_MS", 1_500.0)
+    await fleet.until(lambda: gone.closed, 5.0)
+    assert link.connection is connection
+
+
 async def test_a_node_is_busy_until_its_outcomes_are_on_their_way(fleet):
     """A process that ended before cut them off."""
     asker, other = fleet.hosts[:2]
