Count no time in which this process stood still as silence of others

What callers would see: after a freeze or starvation of 0.9 s or more, repeats of idempotent requests that the budget pays for, and 'not run' for those that wait at other nodes: the node that stood still dropped its connections to all others. Cause: a silence was counted from the ping to the look at the connection, whether or not the process could have read the answer between; and uvloop runs the timer of that look before it reads the sockets. Witnesses have a rule for this (stood_still), connections had none. The class: what one node does not hear is taken for gone; here it did not listen. Ruled out: that it loses requests for certain: since they are kept or asked elsewhere. Change: a look at the connections that is over 250 ms late puts off each silence by the time that it is late. Tests: test_a_node_that_stood_still_takes_no_other_for_silent failed 3 of 3 before (peer_silent silent_ms=2750); test_time_in_which_a_process_stood_still_is_no_silence covers the rule and needs the new call. Runs of the tests of requests and links (57) beside other work (load 20 to 30 on 8 processors): 7 of 10 passed before the fixture was changed. Failed: test_a_request_is_answered_at_its_routes_timeout (1.8 s, at most 1.4), test_a_request_sent_again_in_its_time_does_not_run_again (0.1 s took over 0.5), and in one run test_work_goes_on_until_a_silent_node_has_connected_anew (504) and test_a_caller_that_left_before_a_silence_was_noticed_ends_the_work after it; that run's log has moves_planned between the two: slow runs of the tests before had made keys move. The fixture now resets the learnt pace, as it does all else that a test leaves; 4 of 4 passed after that, without a move planned. The first two are those of a starved machine by their times, not traced further; on 4 of 4 runs passed, at a load of 21 to 27.

--- a/src/auburnrock/engine/mesh/linking.py
+++ b/src/auburnrock/engine/mesh/linking.py
@@ -29,6 +29,10 @@
 SILENT_PINGS = 2.0
 """The same in pings, where they are rarer."""
 
+STOOD_STILL_MS = 250.0
+"""A look at the connections that is this late means that the process was frozen
+or starved; five looks fit into it."""
+
 IDLE_MS = 12_000.0
 """A connection without a duty is closed after this: at seven requests a second
 over 190 targets, most are asked again later than that."""
@@ -74,7 +78,8 @@
       used_ms: when a request last used it.
       pinged_ms: when it was last pinged on this connection.
       unanswered_ms: when the first ping without an answer went, or a part of an
-        answer came since; 0 for none.
+        answer came since; 0 for none. Later by the time in which this process
+        stood still.
       failures: attempts to connect that failed in a row.
       refused: whether nobody listened at the last of them.
       retry_at_ms: no attempt before.
@@ -202,6 +207,11 @@
         """The other node has answered something."""
         self.unanswered_ms = 0.0
 
+    def on_stood_still(self, now_ms: float, for_ms: float) -> None:
+        """This process heard nothing, since it did not listen."""
+        if self.unanswered_ms:
+            self.unanswered_ms = min(now_ms, self.unanswered_ms + for_ms)
+
     def on_part(self, now_ms: float) -> None:
         """A part of an answer has come; the rest may be held up behind it."""
         if self.unanswered_ms:
--- a/src/auburnrock/shells/mesh/peers.py
+++ b/src/auburnrock/shells/mesh/peers.py
@@ -360,9 +360,13 @@
           at_once: whether there is news, so that the next look is due now.
         """
         now_ms = self.now_ms()
-        if now_ms - self.ticked_ms < TICK_MS and not at_once:
+        late_ms = now_ms - self.ticked_ms
+        if late_ms < TICK_MS and not at_once:
             return
         self.ticked_ms = now_ms
+        if late_ms > linking.STOOD_STILL_MS:
+            for link in (*self.links.values(), *self.retired):
+                link.watch.on_stood_still(now_ms, late_ms)
         if self.members_changed:
             self.choose_neighbours()
         self.assign_duties()
--- a/tests/cover/test_mesh_linking.py
+++ b/tests/cover/test_mesh_linking.py
@@ -136,3 +136,14 @@
     assert not watch.is_gone()
     watch.on_lost(800.0)
     assert not watch.is_gone()
+
+
+def test_time_in_which_a_process_stood_still_is_no_silence():
+    watch = opened(duty=True)
+    watch.on_pinged(100.0)
+    watch.on_stood_still(5_000.0, 4_500.0)
+    assert watch.step(4_600.0 + linking.SILENT_MS) is not Step.GIVE_UP
+    assert watch.step(4_601.0 + linking.SILENT_MS) is Step.GIVE_UP
+    watch = opened(duty=True)
+    watch.on_stood_still(5_000.0, 4_500.0)
+    assert not watch.unanswered_ms
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -13,6 +13,7 @@
 from auburnrock.engine.mesh import choice
 from auburnrock.engine.mesh import linking
 from auburnrock.engine.mesh import model
+from auburnrock.engine.mesh import pace
 from auburnrock.engine.mesh import peering
 from auburnrock.engine.mesh import repeats
 from auburnrock.shells.mesh import frames
@@ -43,6 +44,8 @@
                 candidate.failures = 0.0
         host.node.dispatcher.budgets.clear()
         host.node.dispatcher.usual_waits_ms.clear()
+        # A slow run of one test would have keys move in the next.
+        host.node.executor.pace = pace.Pace(host.node.now_ms())
     yield shared_fleet
 
 
@@ -509,6 +512,21 @@
     await fleet.until(link.usable)
 
 
+async def test_a_node_that_stood_still_takes_no_other_for_silent(fleet):
+    """It had not read the answers that came meanwhile."""
+    asker, other = fleet.hosts[:2]
+    hub = asker.node.hub
+    link = hub.links[other.ip]
+    await fleet.until(link.usable)
+    connection = link.connection
+    stood_ms = 3 * linking.SILENT_MS
+    hub.ticked_ms = hub.now_ms() - stood_ms
+    link.watch.unanswered_ms = hub.ticked_ms - 50.0
+    link.due_ms = 0.0
+    hub.tick()
+    assert link.connection is connection
+
+
 def _inbound(hub, name: str) -> tuple[mesh.Connection, list]:
     """A connection of another node that has said who it is."""
     sent = []
