Ask present witnesses for a renewal before proposed ones

Cause: a proposed set is written once its renewals last as long as those of the present one. Each ping carries its own time, some microseconds after the one before it, and the order was that of a set of names, one order for the life of a process. Where the present witness came last, no round of pings could make the others ready. Ruled out: witnesses that refuse; the next process got the same ones. Change: the present witnesses are asked first.

--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -17,6 +17,8 @@
 takes every node for renewed at the moment of that start.
 """
 
+import itertools
+
 import msgspec
 import xxhash
 
@@ -131,20 +133,23 @@
             return False
         return self._ends_ms(self.proposed) >= self._ends_ms(self.witnesses[0])
 
-    def ask(self, now_ms: float) -> set[str]:
-        """Witnesses to ask for a renewal now."""
+    def ask(self, now_ms: float) -> list[str]:
+        """Witnesses to ask for a renewal now, in this order.
+
+        Proposed ones come last: a round in which all renew must leave them no
+        earlier than the present ones.
+        """
         if not self.term or now_ms < self.due_ms:
-            return set()
+            return []
         self.due_ms = now_ms + RENEW_EVERY_MS
         if self.witnesses == [()] and self.proposed is None:
             # Not while witnesses are proposed: they could never catch up.
             self.solo_until_ms = now_ms + self.term_ms * (1.0 - 2.0 * DRIFT)
-        return self.asked()
+        return self._in_order()
 
     def asked(self) -> set[str]:
         """All witnesses, proposed ones too."""
-        groups = [*self.witnesses, self.proposed or ()]
-        return {witness for group in groups for witness in group}
+        return set(self._in_order())
 
     def on_renewed(self, witness: str, term: int, sent_ms: float) -> None:
         """Takes a witness's confirmation of a renewal sent at `sent_ms`."""
@@ -152,6 +157,10 @@
             known_ms = self.renewed_ms.get(witness, 0.0)
             self.renewed_ms[witness] = max(known_ms, sent_ms)
 
+    def _in_order(self) -> list[str]:
+        groups = itertools.chain(*self.witnesses, self.proposed or ())
+        return list(dict.fromkeys(groups))
+
     def _ends_ms(self, group: tuple[str, ...]) -> float:
         if not group:
             return self.solo_until_ms
--- a/tests/cover/test_mesh_lease.py
+++ b/tests/cover/test_mesh_lease.py
@@ -3,6 +3,7 @@
 import collections
 
 import msgspec
+import pytest
 
 from auburnrock.engine.mesh import lease as lease_module
 from auburnrock.engine.mesh import model
@@ -53,7 +54,7 @@
     for name in ("b", "c"):
         lease.on_renewed(name, 10, 1_000.0)
     lease.propose(("d", "e", "f"))
-    assert lease.ask(1_100.0) == {"b", "c", "d", "e", "f"}
+    assert lease.ask(1_100.0) == ["b", "c", "d", "e", "f"]
     assert lease.ends_ms() == 1_000.0 + mesh.TERM_MS * 0.98
     # Nor does it keep one.
     for name in ("e", "f"):
@@ -86,6 +87,17 @@
     assert lease.proposal_ready()
 
 
+@pytest.mark.parametrize("present", ["b", "c", "d"])
+def test_new_witnesses_are_ready_after_a_round_in_which_all_renew(present):
+    """A ping leaves a little after the one before it. Where the present
+    witness came last, no round ever made the others ready."""
+    lease = leased(witnesses=(present,))
+    lease.propose(("b", "c", "d"))
+    for place, name in enumerate(lease.ask(1_000.0)):
+        lease.on_renewed(name, 10, 1_000.0 + 0.01 * place)
+    assert lease.proposal_ready()
+
+
 def test_a_lone_nodes_promise_is_covered_before_it_gets_witnesses():
     lease = leased(witnesses=())
     lease.ask(1_000.0)
