--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -17,6 +17,8 @@
 takes every node for renewed at the moment of that start.
 """
 
+import itertools
+
 import msgspec
 import xxhash
 
@@ -132,27 +134,31 @@
             return False
         return self._ends_ms(self.proposed) >= self._ends_ms(self.witnesses[0])
 
-    def ask(self, now_ms: float, solo_from_ms: float | None = None) -> set[str]:
-        """Witnesses to ask for a renewal now.
+    def ask(
+        self, now_ms: float, solo_from_ms: float | None = None
+    ) -> list[str]:
+        """Witnesses to ask for a renewal now, in this order.
+
+        Proposed ones come last: a round in which all renew must leave them no
+        earlier than the present ones.
 
         Args:
           now_ms: the time.
           solo_from_ms: from when a term without witnesses counts; None is now.
         """
         if not self.term or now_ms < self.due_ms:
-            return set()
+            return []
         self.due_ms = now_ms + RENEW_EVERY_MS
         if self.witnesses == [()] and self.proposed is None:
             # Not while witnesses are proposed: they could never catch up.
             from_ms = now_ms if solo_from_ms is None else solo_from_ms
             until_ms = from_ms + self.term_ms * (1.0 - 2.0 * DRIFT)
             self.solo_until_ms = max(self.solo_until_ms, until_ms)
-        return self.asked()
+        return self._in_order()
 
     def asked(self) -> set[str]:
         """All witnesses, proposed ones too."""
-        groups = [*self.witnesses, self.proposed or ()]
-        return {witness for group in groups for witness in group}
+        return set(self._in_order())
 
     def on_renewed(self, witness: str, term: int, sent_ms: float) -> None:
         """Takes a witness's confirmation of a renewal sent at `sent_ms`."""
@@ -160,6 +166,10 @@
             known_ms = self.renewed_ms.get(witness, 0.0)
             self.renewed_ms[witness] = max(known_ms, sent_ms)
 
+    def _in_order(self) -> list[str]:
+        groups = itertools.chain(*self.witnesses, self.proposed or ())
+        return list(dict.fromkeys(groups))
+
     def _ends_ms(self, group: tuple[str, ...]) -> float:
         if not group:
             return self.solo_until_ms
