Take every node for renewed when a witness hears of a restore

Callers would see two targets that serve one key.

Ruled out: the settling, which waited its term. Change: a witness counts the rest of every node's lease at least from when it heard of the era, as it does from its own start. A takeover waits for the settling, which is as long, so it is no slower where all hear at once. Still open: a witness that the store has lost, and that hears of the era later than those that are sealed.

--- a/src/auburnrock/engine/mesh/lease.py
+++ b/src/auburnrock/engine/mesh/lease.py
@@ -186,10 +186,19 @@
       read_at: the store's revision of that read. A node without a record then
         has no term up to it.
       era: terms of earlier eras of the store are over.
+      era_ms: when this witness heard of that era.
       watched: by name of the node.
     """
 
-    __slots__ = ("era", "read_at", "ready", "started_ms", "term_ms", "watched")
+    __slots__ = (
+        "era",
+        "era_ms",
+        "read_at",
+        "ready",
+        "started_ms",
+        "term_ms",
+        "watched",
+    )
 
     def __init__(self, term_ms: float, started_ms: float):
         self.term_ms = term_ms
@@ -197,6 +206,7 @@
         self.ready = False
         self.read_at = 0
         self.era = 0
+        self.era_ms = started_ms
         self.watched: dict[str, Watched] = {}
 
     def on_record(
@@ -214,9 +224,11 @@
             self.ready = True
             self.read_at = revision
 
-    def on_era(self, era: int) -> None:
+    def on_era(self, now_ms: float, era: int) -> None:
         """The store was restored: it may lack records that began terms."""
-        self.era = max(self.era, era)
+        if era > self.era:
+            self.era = era
+            self.era_ms = now_ms
 
     def on_renew(self, now_ms: float, name: str, term: int) -> bool:
         """Renews a node's lease, or not."""
@@ -244,7 +256,8 @@
             return None
         watched = self.watched.setdefault(name, Watched())
         watched.sealed = max(watched.sealed, revision)
-        last_ms = max(watched.renewed_ms, self.started_ms)
+        # Before the restore the node may have had other witnesses.
+        last_ms = max(watched.renewed_ms, self.started_ms, self.era_ms)
         return max(0.0, self.term_ms * (1.0 + DRIFT) - (now_ms - last_ms))
 
     def silent_ms(self, now_ms: float, name: str) -> float:
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -285,7 +285,7 @@
           era: the era.
           is_restored: whether it was restored since this process read it.
         """
-        self.witness.on_era(era)
+        self.witness.on_era(self.now_ms(), era)
         if is_restored:
             self.parts.era_ms = self.now_ms()
 
--- /dev/null
+++ b/tests/common/mesh_restore_broken.py
@@ -0,0 +1,127 @@
+"""Rules about a restored store taken out, for the search to notice."""
+
+import base64
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from auburnrock.engine.mesh import coordination
+from auburnrock.engine.mesh import holder as holder_module
+from auburnrock.engine.mesh import lease as lease_module
+from auburnrock.engine.mesh import restoring
+from auburnrock.engine.mesh import table as table_module
+from auburnrock.platform import forms
+from auburnrock.platform import store as platform_store
+
+
+def eras_are_not_compared(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Revisions are the store's numbers, and answers name no era."""
+    monkeypatch.setattr(
+        platform_store.Store, "_take_era", lambda self, answer: None
+    )
+
+
+def changes_go_across_eras(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No marks, no comparison before sending, any era is a success."""
+
+    async def change(self, expected, puts, removes):
+        message = platform_store._Change(
+            [
+                platform_store._Expected(key, coordination.number_of(revision))
+                for key, revision in expected.items()
+            ],
+            [
+                platform_store._Put(key, base64.b64encode(value).decode())
+                for key, value in puts.items()
+            ],
+            removes,
+        )
+        answer = await self._exchange(
+            *(b"POST", "/auburnrock/kv-txn", forms.encode(message)),
+            platform_store.CALL_TIMEOUT_S,
+        )
+        if answer.status == 412:
+            conflict = self._decode(platform_store._Conflict, answer, 412)
+            return coordination.Conflict(self._items(conflict.items))
+        made = self._decode(platform_store._Changed, answer, 200)
+        return coordination.revision_of(self.era, made.rev)
+
+    monkeypatch.setattr(platform_store.Store, "change", change)
+
+
+def tokens_have_no_step(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A table's version goes on from the copy's."""
+    monkeypatch.setattr(
+        table_module,
+        "settled",
+        lambda table, era: msgspec.structs.replace(
+            table, version=table.version + 1, era=era
+        ),
+    )
+    monkeypatch.setattr(table_module, "version_of_deal", lambda first, era: 1)
+
+
+def settled_tables_have_no_floor(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Grants keep the tokens of the copy."""
+    settled = table_module.settled
+    monkeypatch.setattr(
+        table_module,
+        "settled",
+        lambda table, era: msgspec.structs.replace(
+            settled(table, era), floor=0
+        ),
+    )
+
+
+def grants_come_before_the_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A table is settled at once, and all that it gives is granted."""
+    monkeypatch.setattr(restoring, "may_settle", lambda *values: True)
+    monkeypatch.setattr(
+        holder_module.Holder,
+        "reported_only",
+        property(lambda self: False, lambda self, value: None),
+        raising=False,
+    )
+
+
+def lost_deals_are_not_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keys are dealt anew as soon as the store has no table."""
+    monkeypatch.setattr(restoring, "may_deal_again", lambda *values: True)
+    monkeypatch.setattr(
+        restoring, "is_restoring", lambda now_ms, era_ms, unsettled: unsettled
+    )
+
+
+def witnesses_know_no_era(monkeypatch: pytest.MonkeyPatch) -> None:
+    """They go on with terms of the era before."""
+    monkeypatch.setattr(
+        lease_module.Witness, "on_era", lambda self, now_ms, era: None
+    )
+
+
+def the_wait_begins_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A further restore does not begin it anew."""
+    may_settle = restoring.may_settle
+    monkeypatch.setattr(
+        restoring,
+        "may_settle",
+        lambda now_ms, unsettled_ms, era_ms, *values: may_settle(
+            now_ms, unsettled_ms, unsettled_ms, *values
+        ),
+    )
+
+
+RULES: dict[str, Callable[[pytest.MonkeyPatch], None]] = {
+    rule.__name__: rule
+    for rule in (
+        eras_are_not_compared,
+        changes_go_across_eras,
+        tokens_have_no_step,
+        settled_tables_have_no_floor,
+        grants_come_before_the_wait,
+        lost_deals_are_not_waited_for,
+        witnesses_know_no_era,
+        the_wait_begins_once,
+    )
+}
--- a/tests/cover/test_mesh_restore_search.py
+++ b/tests/cover/test_mesh_restore_search.py
@@ -14,6 +14,7 @@
     96: "a lease without witnesses went on, its record lost",
     115: "the copy was older than three settled versions of the table",
     208: "a node went on by its old table, its term over, a takeover lost",
+    464: "witnesses of a lost record were not sealed, those before them were",
 }
 """Seeds that found a fault, and its cause."""
 
--- a/tests/cover/test_mesh_restoring.py
+++ b/tests/cover/test_mesh_restoring.py
@@ -20,7 +20,7 @@
     witness.on_record(1_000.0, mesh.member("a"), term(0, 7))
     witness.on_records_read(term(0, 8))
     assert witness.on_renew(1_000.0, "a", term(0, 7))
-    witness.on_era(1)
+    witness.on_era(1_000.0, 1)
     assert not witness.on_renew(1_300.0, "a", term(0, 7))
     # It is there all the same.
     assert witness.silent_ms(1_300.0, "a") == 0.0
@@ -135,3 +135,15 @@
     assert goes_on(term(0, 8), is_live=False)
     assert goes_on(term(1, 8), is_live=True)
     assert not goes_on(term(1, 8), is_live=False)
+
+
+def test_a_witness_takes_every_node_for_renewed_when_it_hears_of_a_restore():
+    """The store had lost a change of witnesses; the former ones were sealed,
+    and the keys moved while the new one's renewal was live (seed 464)."""
+    witness = lease_module.Witness(mesh.TERM_MS, 0.0)
+    witness.on_record(1_000.0, mesh.member("a"), term(0, 7))
+    witness.on_records_read(term(0, 8))
+    assert witness.on_seal(20_000.0, "a", term(0, 9)) == 0.0
+    witness.on_era(20_000.0, 1)
+    assert witness.on_seal(20_000.0, "a", term(1, 9)) > mesh.TERM_MS
+    assert witness.on_seal(26_000.0, "a", term(1, 9)) == 0.0
