Split the model of a restored store, and let it be calm

For measurements by size: no lost messages, more stripes, entries passed on between neighbours, and pages of the stand-in as large as asked for.

--- a/src/auburnrock_standins/mesh_store.py
+++ b/src/auburnrock_standins/mesh_store.py
@@ -92,6 +92,7 @@
       era: rises by one with each restore.
       writes: the last writes, oldest first.
       is_away: no call is answered, and waiting ones are cut.
+      page_items: items of a page; few, so that pages are met.
     """
 
     def __init__(self, now_s: Callable[[], float] = time.monotonic):
@@ -105,6 +106,7 @@
         self.era = FIRST_ERA
         self.writes: collections.deque[Write] = collections.deque()
         self.is_away = False
+        self.page_items = 2
         self.changed = asyncio.Event()
 
     def put(self, key: str, value: bytes) -> int:
@@ -248,7 +250,7 @@
         return answer(shown)
 
     async def range(self, request: web.Request) -> web.Response:
-        """Answers kv-range, two items a page so that pages are met."""
+        """Answers kv-range."""
         refusal = await self.admit(request)
         if refusal is not None:
             return refusal
@@ -259,8 +261,8 @@
         )
         return answer(
             {
-                "items": [self.shown(key) for key in keys[:2]],
-                "more_pages": len(keys) > 2,
+                "items": [self.shown(key) for key in keys[: self.page_items]],
+                "more_pages": len(keys) > self.page_items,
                 "store_revision": self.revision,
             }
         )
--- a/tests/common/mesh_restore_node.py
+++ b/tests/common/mesh_restore_node.py
@@ -27,17 +27,12 @@
 from auburnrock.shells.mesh import sync as sync_module
 from auburnrock.shells.mesh import telling as telling_module
 from tests.common import mesh
+from tests.common import mesh_restore_hub
+from tests.common import mesh_restore_store
 from tests.common import mesh_world
 from tests.common import virtual_time
 
 SERVICE = "portal"
-PING_S = 0.3
-UNHEARD_MS = 1_200.0
-"""A node that has not answered for so long is called silent."""
-
-ALL_NEIGHBOURS = 24
-"""Up to so many nodes all are neighbours."""
-
 RECORDS_EVERY = 3
 """Pings between two looks for records that nobody has told of."""
 
@@ -80,122 +75,6 @@
         self.keys_moved = Counter()
 
 
-class Link:
-    """The way to another node."""
-
-    def __init__(self, hub: "Hub", name: str):
-        self.hub = hub
-        self.name = name
-        self.heard_ms = hub.now_ms()
-        self.pinged_ms = -math.inf
-
-    def usable(self) -> bool:
-        """Whether the node has answered lately."""
-        return self.hub.now_ms() - self.heard_ms < UNHEARD_MS
-
-    def was_pinged(self) -> bool:
-        """Whether it was pinged a moment ago."""
-        return self.hub.now_ms() - self.pinged_ms < 0.5 * PING_S * 1_000.0
-
-    def ping(self) -> None:
-        """Asks for life, and for a renewal."""
-        self.pinged_ms = self.hub.now_ms()
-        self.hub.process.ping(self)
-
-    async def ask(
-        self, message: peering.Message, mark: tuple, limit_s: float
-    ) -> object:
-        """Asks a question; None without an answer in time."""
-        del mark
-        loop = asyncio.get_running_loop()
-        answered = loop.create_future()
-        process = self.hub.process
-
-        def take(answer: object) -> None:
-            if not answered.done():
-                answered.set_result(answer)
-
-        process.world.send(
-            process, self.name, "on_question", message, process, take
-        )
-        try:
-            async with asyncio.timeout(limit_s):
-                return await answered
-        except TimeoutError:
-            return None
-
-
-class Hub:
-    """The other nodes, as this one knows them."""
-
-    def __init__(self, process: "Process"):
-        self.process = process
-        self.name = process.name
-        self.now_ms = process.now_ms
-        self.members: dict[str, model.Member] = {}
-        self.members_ms = process.now_ms()
-        self.directory = membership.Directory(self.name, int(self.members_ms))
-        self.links: dict[str, Link] = {}
-        self.neighbours: set[str] = set()
-        self.chance = process.chance
-        self.on_change_asked: Callable
-
-    def set_members(self, members: dict[str, model.Member]) -> None:
-        """Takes the nodes' records."""
-        if members.keys() != self.members.keys():
-            self.members_ms = self.now_ms()
-        self.members = members
-        self.directory.set_members(members)
-        for name in self.links.keys() - members.keys():
-            del self.links[name]
-        if len(members) <= ALL_NEIGHBOURS:
-            self.neighbours = members.keys() - {self.name}
-        else:
-            self.neighbours = membership.neighbours(self.name, members)
-
-    def link_to(self, name: str) -> Link | None:
-        """The link to a member, made if need be."""
-        if name in self.members and name != self.name:
-            return self.links.setdefault(name, Link(self, name))
-        return None
-
-    def tick(self, at_once: bool = False) -> None:
-        """Pings the neighbours and the witnesses."""
-        del at_once
-        lease = self.process.ownership.lease
-        for name in sorted(self.neighbours | lease.asked()):
-            link = self.link_to(name)
-            if link is not None and not link.was_pinged():
-                link.ping()
-        for name in sorted(self.neighbours & self.links.keys()):
-            if not self.links[name].usable():
-                self.directory.call_silent(self.now_ms(), name)
-
-    def is_heard(self, name: str) -> bool:
-        """Whether a node is heard, here and by its neighbours."""
-        link = self.links.get(name)
-        if link is not None and name in self.neighbours and not link.usable():
-            return False
-        return self.directory.is_alive(name)
-
-    def alive(self) -> set[str]:
-        """Members that are heard."""
-        return set(filter(self.is_heard, self.directory.alive()))
-
-    def tell(self, message: peering.Message, giver: str = "") -> None:
-        """Tells all neighbours but one."""
-        for name in sorted(self.neighbours):
-            if name != giver:
-                self.process.send(name, "on_news", self.name, message)
-
-    def ask_any_neighbour(self, message: peering.Message) -> None:
-        """Asks one neighbour for an item."""
-        known = sorted(self.neighbours & self.links.keys())
-        if known:
-            name = self.chance.choice(known)
-            self.process.send(name, "on_news", self.name, message)
-
-
 class Process:
     """One process of a node.
 
@@ -214,13 +93,13 @@
         self.chance = random.Random(f"{world.seed} {name} {number}")
         self.context = contextvars.copy_context()
         self.context.run(virtual_time.OWNER.set, self)
-        self.hub = Hub(self)
+        self.hub = mesh_restore_hub.Hub(self)
         self.log = Log(world.lines, name, world.counts, self.now_ms)
         self.holder = holder_module.Holder(
             name, mesh_world.HOLD_MS, self.now_ms()
         )
         self.store = platform_store.Store("store:80", self.now_ms)
-        self.store.client = world.store_client(self)
+        self.store.client = mesh_restore_store.StoreClient(world, self)
         self.settings = model.Settings(
             *(f"host-{name}", name, world.zone_of(name), {}, SERVICE),
             *("", "", "", "", f"{name}:7000", "", ""),
@@ -336,7 +215,7 @@
             rounds += 1
             if rounds % RECORDS_EVERY == 0:
                 self.telling.look_for_records()
-            await asyncio.sleep(PING_S)
+            await asyncio.sleep(mesh_restore_hub.PING_S)
 
     def on_era(self, era: int) -> None:
         """As a node does."""
@@ -358,11 +237,11 @@
         """Sends a message to the process that another node then has."""
         self.world.send(self, name, method, *values)
 
-    def ping(self, link: Link) -> None:
+    def ping(self, link: mesh_restore_hub.Link) -> None:
         """Sends a ping."""
         directory = self.hub.directory
         entries = [directory.own]
-        if len(self.hub.members) <= ALL_NEIGHBOURS:
+        if len(self.hub.members) <= mesh_restore_hub.ALL_NEIGHBOURS:
             entries += directory.entries.values()
         self.send(
             link.name,
@@ -386,12 +265,12 @@
     ) -> None:
         """Answers a ping."""
         directory = self.hub.directory
-        directory.take(self.now_ms(), entries)
+        self.on_entries(asker.name, entries)
         self.telling.on_versions(versions)
         ping = peering.Ping(sent_ms, term, mesh.report(), None, [])
         renewed = self.ownership.on_ping(asker.name, ping)
         own = [directory.own]
-        if len(self.hub.members) <= ALL_NEIGHBOURS:
+        if len(self.hub.members) <= mesh_restore_hub.ALL_NEIGHBOURS:
             own += directory.entries.values()
         items = self.ownership.view.items() if asks else []
         self.world.answer(
@@ -413,13 +292,20 @@
         if link is None:
             return
         link.heard_ms = self.now_ms()
-        self.hub.directory.take(self.now_ms(), entries)
+        self.on_entries(name, entries)
         self.telling.on_versions(versions)
         pong = peering.Pong(sent_ms, term, mesh.report(), None)
         self.ownership.on_pong(name, pong)
         if items and not self.ownership.witness.ready:
             self.telling.take_snapshot(items)
 
+    def on_entries(self, giver: str, entries: list[membership.Entry]) -> None:
+        """Takes entries, and passes on what is new where not all ping all."""
+        news = self.hub.directory.take(self.now_ms(), entries)
+        if news and len(self.hub.members) > mesh_restore_hub.ALL_NEIGHBOURS:
+            for name in sorted(self.hub.neighbours - {giver}):
+                self.send(name, "on_entries", self.name, news)
+
     def on_news(self, giver: str, message: peering.Message) -> None:
         """Takes what a neighbour tells of the store."""
         if isinstance(message, peering.Told):
--- a/tests/common/mesh_restore_world.py
+++ b/tests/common/mesh_restore_world.py
@@ -5,26 +5,21 @@
 looks only at what targets accept.
 """
 
-import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import contextvars
 import random
-import urllib.parse
 
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import plan
 from auburnrock.engine.mesh import table as table_module
-from auburnrock.platform import names as platform_names
-from auburnrock.shells.mesh import http_client
-from auburnrock_standins import mesh_store
 from tests.common import mesh
 from tests.common import mesh_restore_node
+from tests.common import mesh_restore_store
 from tests.common import mesh_world
 from tests.common import virtual_time
 
 STRIPES = 24
-GRID = table_module.first_table([mesh.life("a")] * STRIPES)
 """What the targets' keys are cut into."""
 
 COPY_AGES_S = (0.1, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0)
@@ -49,10 +44,10 @@
 """Events that show what a search has gone through."""
 
 
-def cut_keys_into_few(monkeypatch) -> None:
+def cut_keys_into_few(monkeypatch, stripes: int = STRIPES) -> None:
     """Lets a first deal have as many stripes as the targets here."""
-    monkeypatch.setattr(plan, "first_count", lambda targets: STRIPES)
-    monkeypatch.setattr(table_module, "STRIPES_LEAST", STRIPES)
+    monkeypatch.setattr(plan, "first_count", lambda targets: stripes)
+    monkeypatch.setattr(table_module, "STRIPES_LEAST", stripes)
     monkeypatch.setattr(table_module, "RUN_STRIPES", 1)
 
 
@@ -82,78 +77,13 @@
         )
 
 
-class Request:
-    """A request as the stand-in of the store sees it."""
-
-    def __init__(self, remote: str, data: bytes):
-        head, _, self.body = data.partition(b"\r\n\r\n")
-        self.method, path = head.split(b" ", 2)[:2]
-        url = urllib.parse.urlsplit(path.decode())
-        self.path = url.path
-        self.query = dict(urllib.parse.parse_qsl(url.query))
-        self.remote = remote
-        self.transport = self
-        self.is_cut = False
-
-    def abort(self) -> None:
-        """Ends the connection."""
-        self.is_cut = True
-
-    async def read(self) -> bytes:
-        """The body."""
-        return self.body
-
-
-class Connection:
-    """A connection of a process to the store."""
-
-    def __init__(self, world: "World", process):
-        self.world = world
-        self.process = process
-        self.on_part: Callable[[], None]
-
-    def exchange(self, data: bytes, accepts: Callable) -> asyncio.Future:
-        """Sends a request."""
-        del accepts
-        answered = self.world.loop.create_future()
-        request = Request(self.process.name, data)
-        self.world.ask_store(self.process, request, answered)
-        return answered
-
-    def abort(self) -> None:
-        """Nothing is kept of it."""
-
-
-class StoreClient:
-    """Connections of a process to the store."""
-
-    def __init__(self, world: "World", process):
-        self.world = world
-        self.process = process
-
-    async def connect(self, idle_max_ms: float) -> Connection:
-        """Makes a connection.
-
-        Raises:
-          RefusedError: the process is cut off.
-        """
-        del idle_max_ms
-        if not self.world.reaches_store(self.process.name):
-            await asyncio.sleep(http_client.CONNECT_TIMEOUT_S)
-            raise http_client.RefusedError("cut off", False)
-        return Connection(self.world, self.process)
-
-    def give_back(self, connection: Connection) -> None:
-        """Nothing is kept of it."""
-
-    def close(self) -> None:
-        """There is none."""
-
-
 class World:
     """Everything, and the oracle.
 
     Attributes:
+      names: of the nodes.
+      grid: what the keys are cut into.
+      is_calm: whether no message is lost or held up.
       loop: the virtual time.
       store: the stand-in.
       processes: the present or last one of each node.
@@ -162,27 +92,33 @@
       faults: what must not be.
       counts: events of all nodes by kind.
       lines: the events themselves, if they are kept.
-      restores: moments at which the store was restored.
     """
 
     def __init__(
-        self, seed: int, names: str = "abcd", lines: list | None = None
+        self,
+        seed: int,
+        names: Sequence[str] = "abcd",
+        lines: list | None = None,
+        stripes: int = STRIPES,
+        is_calm: bool = False,
     ):
         self.seed = seed
         self.names = names
+        self.grid = table_module.first_table([mesh.life("a")] * stripes)
+        self.is_calm = is_calm
         self.lines = lines
         self.chance = random.Random(seed)
         self.loop = virtual_time.Loop(100.0, lambda process: process.wakes_s)
         self.context = contextvars.Context()
         self.counts: collections.Counter[str] = collections.Counter()
-        self.store = mesh_store.MeshStore(self.loop.time)
+        self.way = mesh_restore_store.Way(self)
+        self.store = self.way.store
         self.cut: set[str] = set()
         self.blind: set[str] = set()
         self.apart: set[frozenset[str]] = set()
         self.links: dict[tuple[str, str], random.Random] = {}
         self.tokens: dict[int, tuple[int, model.Life]] = {}
         self.faults: list[str] = []
-        self.restores: list[float] = []
         self.starts = 0
         self.processes: dict[str, mesh_restore_node.Process] = {}
         self.targets: dict[str, Target] = {}
@@ -247,7 +183,7 @@
         chance = self.stream(one, other)
         if {one, other} & self.cut or frozenset((one, other)) in self.apart:
             return None
-        kind = chance.random()
+        kind = 1.0 if self.is_calm else chance.random()
         if kind < 0.03:
             return None
         if kind < 0.06:
@@ -279,69 +215,6 @@
         """Whether calls of a node get through."""
         return name not in self.cut | self.blind
 
-    def store_client(self, process) -> StoreClient:
-        """The way of a process to the store."""
-        return StoreClient(self, process)
-
-    def ask_store(self, process, request: Request, answered) -> None:
-        """Carries a call to the store: it may be lost, or come late."""
-        chance = process.chance
-        kind = chance.random()
-        delay_s = chance.uniform(0.001, 0.006)
-        if kind < 0.01:
-            return
-        if kind < 0.04:
-            delay_s = chance.uniform(0.1, 7.0)
-        self.later(delay_s, self.store_takes, process, request, answered)
-
-    def store_takes(self, process, request: Request, answered) -> None:
-        """A call arrives at the store."""
-        self.loop.create_task(
-            self.carry_out(process, request, answered), context=self.context
-        )
-
-    async def carry_out(self, process, request: Request, answered) -> None:
-        """The store carries out a call."""
-        handlers = {
-            "/auburnrock/kv-key": self.store.key,
-            "/auburnrock/kv-range": self.store.range,
-            "/auburnrock/kv-watch": self.store.watch,
-            "/auburnrock/kv-txn": self.store.change,
-        }
-        response = await handlers[request.path](request)
-        await self.store.stamp(request, response)
-        chance = process.chance
-        if chance.random() < 0.02 or not self.reaches_store(process.name):
-            # The answer is lost.
-            return
-        era = response.headers.get(mesh_store.ERA_HEADER, "")
-        answer = http_client.Answer(
-            response.status,
-            [(platform_names.ERA, era.encode())],
-            bytes(response.body or b""),
-        )
-        self.loop.call_later(
-            chance.uniform(0.001, 0.004),
-            take_answer,
-            *(answered, None if request.is_cut else answer),
-            context=process.context,
-        )
-
-    def restore(self, age_s: float, away_s: float) -> None:
-        """Lets the store be away, and come back from a copy."""
-        if self.store.is_away:
-            return
-        self.note("restore", age_s=age_s, away_s=away_s)
-        self.restores.append(self.loop.now_s)
-        self.store.is_away = True
-        self.store.wake()
-
-        def come_back() -> None:
-            self.store.restore(age_s + away_s)
-            self.store.is_away = False
-
-        self.later(away_s, come_back)
-
     # Targets.
 
     def start_target(self, name: str) -> None:
@@ -388,7 +261,7 @@
         if not is_extra:
             pause_s = mesh_world.HEARTBEAT_MS / 1_000 * chance.uniform(0.8, 1.2)
             self.later(pause_s, self.beat, target)
-        beat = target.heartbeat(self.now_ms(), GRID, target.state)
+        beat = target.heartbeat(self.now_ms(), self.grid, target.state)
         self.later(
             chance.uniform(0.0001, 0.003),
             *(self.deliver_beat, target, beat, self.now_ms()),
@@ -413,7 +286,7 @@
             now_ms, now_ms, process.ownership.grants_until_ms()
         )
         chance = self.stream("", target.life.member)
-        if chance.random() < 0.05:
+        if not self.is_calm and chance.random() < 0.05:
             # The reply is lost.
             return
         self.later(
@@ -426,7 +299,7 @@
         is_late = now_ms - sent_ms > 1_000.0
         if is_late or reply.holds is None or not target.is_up:
             return
-        target.obey(now_ms, reply, sent_ms, GRID)
+        target.obey(now_ms, reply, sent_ms, self.grid)
         self.judge(target)
         if target.freed:
             self.later(FREED_BEAT_S, self.beat, target, True)
@@ -457,7 +330,7 @@
             for target in self.targets.values()
             if target.is_up
         )
-        return held == STRIPES
+        return held == len(self.grid.stripes)
 
     def recovers(self) -> bool:
         """Ends all faults; whether all keys are held some time later."""
@@ -489,7 +362,7 @@
             return
         if kind == "restore":
             age_s = self.chance.choice(COPY_AGES_S)
-            self.restore(age_s, self.chance.choice(AWAY_S))
+            self.way.restore(age_s, self.chance.choice(AWAY_S))
             return
         self.note(kind, node=name, amount=round(amount, 2))
         if kind == "freeze" and process.is_up():
@@ -522,16 +395,6 @@
             process.weight = 0.4 + amount
 
 
-def take_answer(answered: asyncio.Future, answer) -> None:
-    """An answer of the store arrives; None is the end of its connection."""
-    if answered.done():
-        return
-    if answer is None:
-        answered.set_exception(http_client.BrokenError("cut"))
-    else:
-        answered.set_result(answer)
-
-
 def play(seed: int, disturbances: int = 25, lines: list | None = None) -> World:
     """Plays one seed; what must not be is in the world's faults."""
     world = World(seed, lines=lines)
