--- a/tests/common/mesh_restore_store.py
+++ b/tests/common/mesh_restore_store.py
@@ -99,7 +99,7 @@
         delay_s = chance.uniform(0.001, 0.006)
         if kind < 0.01:
             return
-        if kind < 0.04:
+        if kind < 0.01 + self.world.late:
             delay_s = chance.uniform(0.1, 7.0)
         self.world.later(delay_s, self.take, process, request, answered)
 
--- a/tests/common/mesh_restore_world.py
+++ b/tests/common/mesh_restore_world.py
@@ -22,6 +22,9 @@
 STRIPES = 24
 """What the targets' keys are cut into."""
 
+DISTURBANCES = 25
+LATE = 0.03
+OFTEN_LATE = 0.3
 COPY_AGES_S = (0.1, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0)
 AWAY_S = (0.0, 0.3, 1.0, 3.0)
 FREED_BEAT_S = 0.1
@@ -84,6 +87,7 @@
       names: of the nodes.
       grid: what the keys are cut into.
       is_calm: whether no message is lost or held up.
+      late: part of the store's calls that come late, some by seconds.
       loop: the virtual time.
       store: the stand-in.
       processes: the present or last one of each node.
@@ -101,11 +105,13 @@
         lines: list | None = None,
         stripes: int = STRIPES,
         is_calm: bool = False,
+        late: float = LATE,
     ):
         self.seed = seed
         self.names = names
         self.grid = table_module.first_table([mesh.life("a")] * stripes)
         self.is_calm = is_calm
+        self.late = late
         self.lines = lines
         self.chance = random.Random(seed)
         self.loop = virtual_time.Loop(100.0, lambda process: process.wakes_s)
@@ -351,6 +357,13 @@
 
     # Faults.
 
+    def lose_deal(self) -> None:
+        """Restores a copy from before the first deal under new processes."""
+        for name in self.names:
+            self.kill(name, self.chance.uniform(0.05, 0.5))
+        self.way.restore(max(COPY_AGES_S), 0.0)
+        self.run(self.chance.uniform(3.0, 6.0))
+
     def disturb(self) -> None:
         """Brings about one fault."""
         name = self.chance.choice(self.names)
@@ -395,11 +408,25 @@
             process.weight = 0.4 + amount
 
 
-def play(seed: int, disturbances: int = 25, lines: list | None = None) -> World:
-    """Plays one seed; what must not be is in the world's faults."""
-    world = World(seed, lines=lines)
+def play(
+    seed: int,
+    late: float = LATE,
+    loses_deal: bool = False,
+    lines: list | None = None,
+) -> World:
+    """Plays one seed; what must not be is in the world's faults.
+
+    Args:
+      seed: of all chance.
+      late: part of the store's calls that come late.
+      loses_deal: whether the first deal is lost, and nobody knows it.
+      lines: takes all events.
+    """
+    world = World(seed, lines=lines, late=late)
     world.run(world.chance.choice((2.0, 6.0, 12.0)))
-    for _ in range(disturbances):
+    if loses_deal:
+        world.lose_deal()
+    for _ in range(DISTURBANCES):
         world.disturb()
         world.run(world.chance.uniform(0.05, 3.0))
     if not world.recovers():
--- a/tests/cover/test_mesh_restore_search.py
+++ b/tests/cover/test_mesh_restore_search.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.common import mesh_restore_broken
 from tests.common import mesh_restore_world
 
 SEEDS = range(8)
@@ -18,6 +19,20 @@
 }
 """Seeds that found a fault, and its cause."""
 
+BROKEN = {
+    "eras_are_not_compared": {"seed": 0},
+    "changes_go_across_eras": {
+        "seed": 163,
+        "late": mesh_restore_world.OFTEN_LATE,
+    },
+    "tokens_have_no_step": {"seed": 49},
+    "settled_tables_have_no_floor": {"seed": 49},
+    "grants_come_before_the_wait": {"seed": 40},
+    "lost_deals_are_not_waited_for": {"seed": 14, "loses_deal": True},
+    "witnesses_know_no_era": {"seed": 28},
+}
+"""The first seed that finds a fault without each rule, as it is played."""
+
 
 @pytest.fixture(autouse=True)
 def few_stripes(monkeypatch):
@@ -36,3 +51,14 @@
 @pytest.mark.parametrize("seed", FOUND, ids=lambda seed: f"seed {seed}")
 def test_a_seed_that_found_a_fault_finds_none(seed):
     assert mesh_restore_world.play(seed).faults == []
+
+
+@pytest.mark.parametrize(("rule", "played"), BROKEN.items(), ids=BROKEN.keys())
+def test_the_search_finds_a_fault_without_a_rule(monkeypatch, rule, played):
+    mesh_restore_broken.RULES[rule](monkeypatch)
+    assert mesh_restore_world.play(**played).faults
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_what_is_found_without_a_rule_is_not_found_with_it(rule):
+    assert mesh_restore_world.play(**BROKEN[rule]).faults == []
