Settle a table under new tokens

A target takes no row with a token below one that it has seen, so keys that had been there, gone and come back within the copy's age would have had no holder until they moved.

Cause: settling raised the version, which is the token of what is moved from then on, but left the tokens of the stripes.

Ruled out: a move that somebody knows; it is put back with its tokens.

Change: settling gives all stripes the token below its version (the version itself would tell a deal, which owners confirm in the store). A change that peers are told of is taken against the settled table where it crosses eras, so its message does not grow.

Conclusion: tokens rise over a restore also where nobody remembers the move.

--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -10,7 +10,8 @@
 
 A store that is restored from an older copy may have lost versions of a table.
 So a table says the era of the store in which it was last changed; in another
-era it is settled first, with a version above all that may be lost.
+era it is settled first, with a version, and so tokens, above all that may be
+lost.
 """
 
 import collections
@@ -153,7 +154,7 @@
     """
     if len(before.stripes) != len(after.stripes):
         return None
-    known = _renumbered(before, after.lives)
+    known = _renumbered(_in_era(before, after.era), after.lives)
     stripes: list[tuple[int, int, Stripe]] = []
     for index, (stripe, earlier) in enumerate(
         zip(after.stripes, known, strict=True)
@@ -173,7 +174,7 @@
 def applied(before: KeyTable, change: TableChange) -> KeyTable:
     """The later version that a change of the earlier one tells of."""
     lives = change.lives or before.lives
-    stripes = _renumbered(before, lives)
+    stripes = _renumbered(_in_era(before, change.era), lives)
     for first, count, stripe in change.stripes:
         stripes[first : first + count] = [stripe] * count
     return KeyTable(
@@ -190,12 +191,30 @@
 
 
 def settled(table: KeyTable, era: int) -> KeyTable:
-    """The same ownership in a later era of the store."""
+    """The same ownership in a later era of the store, under new tokens.
+
+    Lost versions may have granted any key elsewhere, under a higher token than
+    it has here.
+    """
+    version = table.version + ERA_STEP
+    # Not the version, which is what tells a deal.
+    token = version - 1
+    # Most are alike, and a fleet's tables have many.
+    made = {
+        stripe: Stripe(stripe.owner, token, stripe.handover)
+        for stripe in set(table.stripes)
+    }
+    stripes = tuple(made[stripe] for stripe in table.stripes)
     return msgspec.structs.replace(
-        table, version=table.version + ERA_STEP, era=era
+        table, version=version, stripes=stripes, era=era
     )
 
 
+def _in_era(table: KeyTable, era: int) -> KeyTable:
+    """What a change in an era is told against: all tokens change with it."""
+    return settled(table, era) if era > table.era else table
+
+
 def _renumbered(
     before: KeyTable, lives: tuple[model.Life, ...]
 ) -> list[Stripe]:
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -463,6 +463,33 @@
     assert not moved.holds
 
 
+async def test_keys_that_come_back_by_a_lost_move_have_higher_tokens(fleet):
+    """The settled table gave them back under the token that they had before
+    the move; the target takes no row below a token that it has seen."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and len(host.node.ownership.record.record.witnesses) == 3
+            for host in fleet.hosts[:3]
+        )
+    )
+    copy_of(fleet)
+    moved = fleet.hosts[0].target
+    moved.state = "draining"
+    await fleet.until(lambda: not moved.holds and all_held(fleet), 5.0)
+    for host in fleet.hosts:
+        await host.kill_node()
+    fleet.store.restore(5.0)
+    moved.state = "ready"
+    for host in fleet.hosts:
+        await host.start_node()
+    await fleet.until(lambda: moved.holds and all_held(fleet))
+    assert oracle.faults == []
+
+
 async def test_a_lost_first_deal_that_nobody_knows_leaves_one_owner(fleet):
     """Targets held keys by it when the keys were dealt anew, and the tokens
     were given out again."""
