Let a node follow an era by its neighbours' word

A node that was cut off from the store, but not from its witnesses, when the store was restored lost its lease a term after they had heard, and its target let go of its keys until the node could read its record.

Cause: its witnesses renew no term of an older era, and only a listing or a watch told it what its record is in the new one. Listings are not passed on, and changes of tables are told against a revision that it did not know.

Change: while its calls fail and its record, or a table, is of an older era, a node asks a neighbour for them every 200 ms. It follows its record as it follows a listed one. By a table that the store lacks, or that is not known of the era, it grants no longer than its former lease: those who settle a table wait for that lease, and a lease that went on would outlast them. This closes the same hole for a node that lists the store once and is cut off then.

Conclusion: a cut from the store over a restore ends no lease while a neighbour has read the store.

--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -283,6 +283,7 @@
             self.dispatcher.take_report(
                 self.settings.ip, self.executor.report()
             )
+        self.telling.look_for_era()
         if now_ms - self.looked_ms >= telling.MEMBERS_EVERY_MS:
             self.looked_ms = now_ms
             self.telling.look_for_records()
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -244,9 +244,7 @@
 
     def grants_until_ms(self) -> float:
         """Until when keys may be granted; 0 if none may."""
-        if not self.record.is_confirmed:
-            return 0.0
-        return self.lease.ends_ms()
+        return self.record.grants_until_ms()
 
     def _doubt(self, now_ms: float) -> None:
         """Reads the store: another node may have sealed this one's record."""
--- a/src/auburnrock/shells/mesh/record.py
+++ b/src/auburnrock/shells/mesh/record.py
@@ -21,6 +21,8 @@
       revision: of the record; 0 before it is written.
       record: as written.
       is_confirmed: whether it was read, or written, after the first deal.
+      former_ends_ms: end of the lease by the renewals of earlier eras; 0 for a
+        record that was written, or found, in this era.
     """
 
     def __init__(self, parts: parts_module.Parts):
@@ -28,6 +30,7 @@
         self.revision = 0
         self.record: model.Member | None = None
         self.is_confirmed = True
+        self.former_ends_ms = 0.0
         self.unfit_since_ms: float | None = None
         self.changed_ms = 0.0
 
@@ -55,12 +58,33 @@
         is_live = self.lease.ends_ms() > self.now_ms()
         if not in_later_era or record != self.record or not is_live:
             return False
+        self.former_ends_ms = self._ends_ms()
         self.revision = revision
         self.view.members[self.name] = (record, revision)
         self.lease.settle(revision, record.witnesses)
         self.log.write("record_kept", revision=revision)
         return True
 
+    def grants_until_ms(self) -> float:
+        """Until when keys may be granted; 0 if none may."""
+        return self._ends_ms() if self.is_confirmed else 0.0
+
+    def _ends_ms(self) -> float:
+        """End of the lease for what the known table gives.
+
+        Those who settle a table in a new era wait for the leases of the one
+        before. So a table that they may not know lasts no longer.
+        """
+        ends_ms = self.lease.ends_ms()
+        service = self.settings.service
+        known = self.view.known_revision(self.view.table_key(service))
+        is_of_era = coordination.era_of(known) >= coordination.era_of(
+            self.revision
+        )
+        if is_of_era and service not in self.view.lost:
+            return ends_ms
+        return min(ends_ms, self.former_ends_ms)
+
     async def register(self) -> None:
         """Writes this node's record, or finds it as it should be."""
         known = self.view.members.get(self.name)
@@ -102,6 +126,7 @@
     def _adopt_record(self, record: model.Member, revision: int) -> None:
         self.record = record
         self.revision = revision
+        self.former_ends_ms = 0.0
         self.lease.begin_term(revision, record.witnesses)
         self.log.write(
             "registered", revision=revision, witnesses=record.witnesses
--- a/src/auburnrock/shells/mesh/telling.py
+++ b/src/auburnrock/shells/mesh/telling.py
@@ -47,6 +47,10 @@
 """The entry of a node without a record is dropped after this; what it says
 next makes it known again."""
 
+LOST_ERA_EVERY_MS = 200.0
+"""Between two questions of a node that hears of an era and cannot read the
+store; its lease lasts for a few of them."""
+
 SNAPSHOTS = 3
 """Peers asked at a time for all that they know; one may be behind."""
 
@@ -74,6 +78,8 @@
       asked_for: highest version by service, or "" for the configuration, for
         which the store was read.
       asked_for_members_ms: when it was last read for an unknown record.
+      asked_for_era_ms: when neighbours were last asked what the store says in
+        its era.
       snapshots_since_ms: since when snapshots are counted.
       snapshots_asked: peers asked for one since then.
     """
@@ -105,6 +111,7 @@
         self.strangers: dict[str, float] = {}
         self.asked_for: dict[str, int] = {}
         self.asked_for_members_ms = 0.0
+        self.asked_for_era_ms = 0.0
         self.snapshots_since_ms = 0.0
         self.snapshots_asked = 0
 
@@ -279,6 +286,25 @@
                 key = self.ownership.view.member_key(name)
                 self.hub.ask_any_neighbour(peering.Want(key, 0))
 
+    def look_for_era(self) -> None:
+        """Asks neighbours what a restored store says that is lost from here.
+
+        Only its own record, for its lease, and the tables, for their changes:
+        the records of the others stay as they are.
+        """
+        now_ms = self.now_ms()
+        if not self.own_sync.is_lost:
+            return
+        if now_ms - self.asked_for_era_ms < LOST_ERA_EVERY_MS:
+            return
+        self.asked_for_era_ms = now_ms
+        view = self.ownership.view
+        keys = [view.member_key(self.settings.ip)]
+        keys += [view.table_key(service) for service in view.tables]
+        for key in keys:
+            if coordination.era_of(view.known_revision(key)) < self.store.era:
+                self.hub.ask_any_neighbour(peering.Want(key, 0))
+
     def later(self, check: Callable[..., None], *values: object) -> None:
         """Checks something once what a reader told has had time to come."""
         loop = asyncio.get_running_loop()
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -108,6 +108,8 @@
         self.fleet = fleet
         self.ip = f"127.0.1.{number}"
         self.service = service
+        # Its own way to the store, if it has one.
+        self.store_address = ""
         ports = free_ports(self.ip, 7)
         names = ("peer", "caller", "ready", "control", "target", "metrics")
         self.addresses = {
@@ -133,7 +135,7 @@
             control_address=self.addresses["control"],
             peer_address=self.addresses["peer"],
             metrics_address=self.addresses["metrics"],
-            store_address=self.fleet.store_address,
+            store_address=self.store_address or self.fleet.store_address,
             heartbeat_ms=HEARTBEAT_S * 1_000,
             memory_bytes=300 << 20,
             link_mbps=1_000.0,
--- a/tests/common/mesh_restores.py
+++ b/tests/common/mesh_restores.py
@@ -9,8 +9,10 @@
 from auburnrock.shells import clock as clocks
 from auburnrock.shells.mesh import event_log
 from auburnrock.shells.mesh import sync as sync_module
+from auburnrock_standins import forwarder
 from auburnrock_standins import mesh_store
 from auburnrock_standins import serving
+from tests.common import mesh_fleet
 
 PREFIX = "auburnrock/"
 RECORD = "auburnrock/m/a"
@@ -130,6 +132,20 @@
     await runner.cleanup()
 
 
+async def link_to_store(host: mesh_fleet.Host) -> forwarder.Link:
+    """Gives a host that is not started a way to the store of its own."""
+    (port,) = mesh_fleet.free_ports("127.0.2.1", 1)
+    pair = forwarder.Pair(
+        forwarder.Address("127.0.2.1", port),
+        forwarder.parse_address(host.fleet.store_address),
+    )
+    link = forwarder.Link(pair)
+    # Not the link's own start, which also takes datagrams.
+    link.server = await asyncio.start_server(link.accept, "127.0.2.1", port)
+    host.store_address = f"127.0.2.1:{port}"
+    return link
+
+
 async def until(condition: Callable[[], bool], limit_s: float) -> bool:
     """Whether a condition holds before a limit."""
     try:
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -577,6 +577,84 @@
     } == {1}
 
 
+@pytest_asyncio.fixture
+async def late(fleet):
+    """A host that holds keys, with a way to the store that can be cut."""
+    made = mesh_fleet.Host(fleet, 5, "portal")
+    made.link = await mesh_restores.link_to_store(made)
+    fleet.hosts.append(made)
+    await made.start_node()
+    await made.start_target()
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and len(host.node.ownership.record.record.witnesses) == 3
+            and len(host.node.ownership.lease.witnesses) == 1
+            and host.node.ownership.was_live
+            and host.target.holds
+            for host in fleet.hosts
+            if host.service == "portal"
+        )
+    )
+    await fleet.until(lambda: all_held(fleet))
+    yield made
+    set_cut(made, False)
+    made.link.server.close()
+    await asyncio.sleep(0.05)
+
+
+def set_cut(host, is_cut):
+    """Cuts a host's way to the store, or restores it."""
+    host.link.forward.set_cut(is_cut)
+    host.link.backward.set_cut(is_cut)
+
+
+async def test_a_node_without_a_way_to_the_store_keeps_its_keys(fleet, late):
+    """It heard of the era, could not read its record, and its witnesses
+    renewed its term no more."""
+    copy_of(fleet)
+    set_cut(late, True)
+    fleet.store.restore(5.0)
+    node = late.node
+    lost = node.log.counts.get("lease_lost", 0)
+    for _ in range(40):
+        await asyncio.sleep(0.2)
+        assert node.ownership.grants_until_ms() > node.now_ms()
+    assert node.log.counts.get("lease_lost", 0) == lost
+    assert await mesh_restores.until(lambda: all_held(fleet), 1.0)
+    assert coordination.era_of(node.ownership.lease.term) == 1
+    tables = [host.node.ownership.view.tables["portal"] for host in fleet.hosts]
+    assert {table.version for table, _ in tables} == {tables[0][0].version}
+    assert tables[0][0].era == 1
+
+
+async def test_a_lost_table_is_granted_by_no_longer_than_the_lease_before(
+    fleet, late
+):
+    """All others that knew a lost move had ended, and the node that it gave
+    keys to had heard of its record, but could not tell of the move."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    copy_of(fleet)
+    moved = fleet.hosts[0].target
+    moved.state = "draining"
+    await fleet.until(lambda: not moved.holds and all_held(fleet), 5.0)
+    set_cut(late, True)
+    late.node.ownership.store._helpers = list
+    late.node.hub.items = list
+    others = [host for host in fleet.hosts if host is not late]
+    for host in others:
+        await host.kill_node()
+    fleet.store.restore(5.0)
+    moved.state = "ready"
+    for host in others:
+        await host.start_node()
+    assert await mesh_restores.until(lambda: moved.holds, 9.0)
+    await mesh_restores.until(lambda: oracle.faults, 2.0)
+    assert oracle.faults == []
+
+
 async def test_who_knows_a_lost_move_writes_it_again(fleet):
     """Nobody makes another change before, and the keys stay where they are."""
     oracle = mesh_grants.Oracle()
