Check fencing tokens in the soak

Change: the oracle of the tests watches every start of a target in the soak too: a key that goes to another has a higher token.

--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -29,6 +29,7 @@
 from auburnrock_standins import mesh_target
 from auburnrock_standins import processes
 from tests.common import mesh_fleet
+from tests.common import mesh_grants
 from tests.common import mesh_soak_faults
 
 RECOVER_S = 15.0
@@ -37,6 +38,9 @@
 RESTART_S = 0.4
 """The platform starts an ended process again after a short delay."""
 
+TOKENS_SHOWN = 5
+"""One fault concerns many keys."""
+
 CALLERS = 12
 DEADLINE_MS = 1_500
 
@@ -62,6 +66,7 @@
       broken: broken promises, in words.
       attempts: everything that callers sent.
       targets: every start of a target.
+      oracle: checks the tokens of what they hold.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         self.attempts: list[Attempt] = []
         self.targets: list[mesh_target.MeshTarget] = []
         self.hosts: list[mesh_soak_faults.Host] = []
+        self.oracle = mesh_grants.Oracle()
         self.version = 7
         self.began_s = 0.0
 
@@ -114,6 +120,8 @@
                 task.cancel()
             await asyncio.gather(*callers, *watchers, return_exceptions=True)
         self.check_requests()
+        for text in self.oracle.reused[:TOKENS_SHOWN]:
+            self.fail(text)
         for each in self.hosts:
             each.process.kill()
             each.link.server.close()
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -11,6 +11,7 @@
 from auburnrock_standins import mesh_target
 from auburnrock_standins import processes
 from tests.common import mesh_fleet
+from tests.common import mesh_grants
 
 SERVICES = ("portal", "portal", "portal", "booker", "booker")
 FAULTS_S = 9.0
@@ -112,11 +113,13 @@
       deployment: starts its node.
       program: arguments of `python` that start a node.
       targets: every start of a target.
+      oracle: checks the tokens of what they hold.
     """
 
     deployment: processes.Deployment
     program: list[str]
     targets: list[mesh_target.MeshTarget]
+    oracle: mesh_grants.Oracle
 
     @abc.abstractmethod
     def check_holds(self, target: mesh_target.MeshTarget) -> None:
@@ -201,5 +204,6 @@
         self.target.on_taken = self.fleet.check_holds
         self.target.behaviour.work_s = 0.02
         self.fleet.targets.append(self.target)
+        self.fleet.oracle.watch(self.target)
         await self.target.start()
         return self.target
