Count what a restore of the store brings about

What operators saw: auburnrock_events counts log lines by event. So it counted eras (store_era), tables found older than known (table_lost) and leases that went on (record_kept), but not which tables were written back or settled (table_written has its cause in a field, and counts changes that lost to another), nor changes given up because their era had passed (in write_failed).

Tables that a takeover writes are not among them; taken_over counts those.

Conclusion: each step of a restore has a count of its own.

--- a/src/auburnrock/shells/mesh/metrics.py
+++ b/src/auburnrock/shells/mesh/metrics.py
@@ -29,6 +29,7 @@
       events: log events by name; also those that were not written.
       store_calls: calls to the store.
       peer_bytes: bytes written to other nodes, by kind of message.
+      tables_written: versions of key tables that this node wrote, by cause.
       keys_moved: stripes that this node gave to other targets.
     """
 
@@ -70,6 +71,12 @@
         self.peer_bytes = prometheus_client.Gauge(
             "peer_bytes", "Bytes to other nodes.", ["message"], **common
         )
+        self.tables_written = prometheus_client.Counter(
+            "tables_written",
+            "Versions of key tables written.",
+            ["cause"],
+            **common,
+        )
         self.keys_moved = prometheus_client.Counter(
             "stripes_moved", "Stripes given to other targets.", **common
         )
--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -480,6 +480,7 @@
             ]
             self.parts.on_items(newer, self.witness.read_at)
             return False
+        self.parts.metrics.tables_written.labels(cause).inc()
         self.parts.tell([coordination.Item(key, data, result)])
         self.parts.adopt_table(service, table, result)
         return True
--- a/src/auburnrock/shells/mesh/relay.py
+++ b/src/auburnrock/shells/mesh/relay.py
@@ -88,7 +88,8 @@
         """Makes a conditional change, by way of another node if need be."""
         try:
             return await self.own.change(expected, puts, removes)
-        except coordination.EraPassedError:
+        except coordination.EraPassedError as error:
+            self.log.write("era_passed", reason=str(error))
             raise
         except coordination.StoreError as error:
             return await self._relay(error, expected, puts, removes)
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -220,6 +220,16 @@
     assert restored.store.value(RECORD) == b"other"
 
 
+async def test_a_change_given_up_for_its_era_is_an_event(restored):
+    client = restored.client()
+    revision = await lost_change(restored, client)
+    await client.read("op/config")
+    before = mesh_restores.LOG.counts.get("era_passed", 0)
+    changing = helper(client).change({RECORD: revision}, {RECORD: b"x"}, [])
+    assert isinstance(await outcome(changing), coordination.EraPassedError)
+    assert mesh_restores.LOG.counts["era_passed"] == before + 1
+
+
 async def test_a_change_that_was_made_in_another_era_is_no_success(restored):
     """Its maker cannot have heard of the restore; the answer names the era."""
     client = restored.client()
@@ -673,6 +683,32 @@
     assert oracle.faults == []
 
 
+def counted(fleet, cause):
+    """Tables that the nodes' metrics say were written."""
+    return sum(
+        host.node.metrics.registry.get_sample_value(
+            "auburnrock_tables_written_total", {"cause": cause}
+        )
+        or 0
+        for host in fleet.hosts
+    )
+
+
+async def test_metrics_count_tables_put_back_and_settled(fleet):
+    copy_of(fleet)
+    fleet.hosts[0].target.state = "draining"
+    await fleet.until(
+        lambda: not fleet.hosts[0].target.holds and all_held(fleet), 5.0
+    )
+    assert counted(fleet, "put_back") == 0
+    fleet.store.restore(5.0)
+    await fleet.until(lambda: len(tables_written(fleet)) >= 2)
+    await fleet.until(lambda: counted(fleet, "settle") == 1)
+    assert counted(fleet, "put_back") == 1
+    nodes = [host.node for host in fleet.hosts]
+    assert [node.log.counts.get("store_era") for node in nodes] == [1] * 4
+
+
 async def test_a_lost_first_deal_is_written_again(fleet):
     """The keys were dealt anew while targets held them."""
     oracle = mesh_grants.Oracle()
