Open a host's link to the store once in the soak

Cause: opening the link waits for its address. A fault that ended meanwhile found it closed too, and both took its port.

Ruled out: another run on the port (the addresses are of this process; two calls of the same function at a time fail each time).

Change: one opens it at a time, and looks first. Kept as a test with the seed; it failed before.

Conclusion: a fault of the soak, not of the nodes.

--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -140,11 +140,15 @@
         await self.open_link(host)
 
     async def open_link(self, host: mesh_soak_faults.Host) -> None:
-        """Begins to take connections for the store; TCP only."""
+        """Takes connections for the store, if it does not yet; TCP only."""
         address, port = host.addresses["store"].split(":")
-        host.link.server = await asyncio.start_server(
-            host.link.accept, address, int(port)
-        )
+        # Faults of one host may end at one time.
+        async with host.opening:
+            server = host.link.server
+            if server is None or not server.is_serving():
+                host.link.server = await asyncio.start_server(
+                    host.link.accept, address, int(port)
+                )
 
     def configure(self) -> None:
         """Writes a version with a route that only later ones have."""
@@ -187,8 +191,7 @@
             # New connections only; those that are open go on.
             host.link.server.close()
             await asyncio.sleep(fault.for_s)
-            if not host.link.server.is_serving():
-                await self.open_link(host)
+            await self.open_link(host)
         elif fault.kind == "store_loses_answers":
             switches.lose_changes += 3
         elif fault.kind == "store_forgets":
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -1,6 +1,7 @@
 """Schedules of faults for the soak, and the hosts that they meet."""
 
 import abc
+import asyncio
 import json
 import os
 import random
@@ -141,6 +142,7 @@
         }
         self.process: processes.Process | None = None
         self.link: forwarder.Link | None = None
+        self.opening = asyncio.Lock()
         self.starts_of_node = 0
         self.version_seen = 0
 
--- a/tests/cover/test_mesh_soak.py
+++ b/tests/cover/test_mesh_soak.py
@@ -1,7 +1,10 @@
 """A short run of the soak; `tests/nocover/test_mesh_soak_long.py` has more."""
 
+import asyncio
+
 import pytest
 
+from auburnrock_standins import processes
 from tests.common import mesh_soak
 from tests.common import mesh_soak_faults
 
@@ -36,3 +39,15 @@
 def test_a_seed_gives_one_schedule():
     assert mesh_soak_faults.schedule(7) == mesh_soak_faults.schedule(7)
     assert mesh_soak_faults.schedule(7) != mesh_soak_faults.schedule(8)
+
+
+async def test_two_faults_of_a_host_may_end_at_one_time(tmp_path):
+    """Seed 4204 with restores: both took the port of its link again."""
+    with processes.Deployment(tmp_path) as deployment:
+        soak = mesh_soak.Soak(4204, deployment, restores=True)
+        host = mesh_soak_faults.Host(soak, 1, "portal")
+        await soak.start_link(host, "127.0.0.1", 1)
+        host.link.server.close()
+        await asyncio.gather(soak.open_link(host), soak.open_link(host))
+        assert host.link.server.is_serving()
+        host.link.server.close()
