Keep keys that were to move when the store is restored

Cause, from the nodes' logs: a target lets go of keys before the change that moves them, and no change is made after a restore until the table is settled, a term later. Two nodes had planned moves in the very millisecond in which they heard of the era: a move waits for an answer of the store, and that answer told of the restore.

Ruled out: lost leases (none ended), put back tables (none was lost), the settling itself (3.1 s after the news, as it should).

Change: while a restore is being settled, a target gets back what it was letting go of, unless it leaves; and an answer of another era begins no move.

Both tests failed before.

Conclusion: a restore costs no key its holder for a move that was only planned.

--- a/src/auburnrock/shells/mesh/moves.py
+++ b/src/auburnrock/shells/mesh/moves.py
@@ -185,10 +185,25 @@
             )
             self.parts.news.set()
 
+    def keep(self) -> None:
+        """Takes back what was to move: no change is made before it is settled.
+
+        A target that leaves gets nothing back.
+        """
+        if not self.holder.giving or self.holder.draining:
+            return
+        self.holder.give({})
+        self.wanted = {}
+        self.basis = ()
+        self.planned = ()
+        self.needs_store = False
+        self.parts.news.set()
+
     async def ask_store(self) -> None:
         """Begins the moves that wait for the store, if it answers now."""
         if not self.needs_store:
             return
+        era = self.store.era
         try:
             # Any answer will do, and a stale one costs a tenth.
             await self.store.list_all(
@@ -199,6 +214,9 @@
             if not (self.holder.draining and self.store.has_helper()):
                 raise
         self.asked_ms = self.now_ms()
+        if self.store.era != era:
+            # No change is made now.
+            return
         known = self.view.tables.get(self.settings.service)
         if known is not None:
             self._give(known[0])
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -215,7 +215,9 @@
             self.news.set()
         if self.keyed and self.record.revision and not live:
             self._doubt(now_ms)
-        if self.keyed and not self.is_restoring(now_ms):
+        if self.keyed and self.is_restoring(now_ms):
+            self.moves.keep()
+        elif self.keyed:
             self.moves.plan(now_ms)
             self.moves.cool(now_ms)
         if self.record.revision:
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -665,6 +665,37 @@
     assert oracle.faults == []
 
 
+async def test_keys_that_were_to_move_stay_until_the_table_is_settled(fleet):
+    """A target let go of them, and no change was made for a term."""
+    await fleet.until(lambda: all_held(fleet))
+    copy_of(fleet)
+    fleet.store.restore(5.0)
+    giver = fleet.hosts[0].node
+    await fleet.until(lambda: giver.store.era == 1)
+    life = fleet.hosts[1].node.holder.life
+    moves = dict.fromkeys(giver.holder.own_stripes()[:100], life)
+    giver.ownership.moves.wanted = moves
+    giver.holder.give(moves)
+    giver.ownership.news.set()
+    await mesh_restores.until(lambda: not all_held(fleet), 0.5)
+    assert await mesh_restores.until(lambda: all_held(fleet), 1.0)
+    assert giver.ownership.is_restoring(giver.now_ms())
+
+
+async def test_a_move_does_not_begin_with_news_of_a_restore(fleet):
+    """The answer that a move waited for told of it as well."""
+    copy_of(fleet)
+    moves = fleet.hosts[0].node.ownership.moves
+    giver = fleet.hosts[0].node
+    life = fleet.hosts[1].node.holder.life
+    moves.wanted = dict.fromkeys(giver.holder.own_stripes()[:100], life)
+    moves.needs_store = True
+    fleet.store.era += 1
+    await moves.ask_store()
+    assert giver.store.era == 1
+    assert not giver.holder.giving
+
+
 async def test_who_knows_a_lost_move_writes_it_again(fleet):
     """Nobody makes another change before, and the keys stay where they are."""
     oracle = mesh_grants.Oracle()
