--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -210,6 +210,8 @@
         elif fault.kind == "lose_answers":
             host.target.behaviour.lose += 3
         elif fault.kind == mesh_soak_faults.RESTORED:
+            for each in self.hosts if fault.ends_all else ():
+                each.process.kill()
             await self.store.drill(fault.age_s, fault.for_s)
         elif fault.kind == "configure":
             self.version += 1
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -45,6 +45,9 @@
 AWAY_S = (0.1, 1.0, 5.0)
 """For how long it is away then."""
 
+ENDS_ALL = 0.4
+"""Part of the restores in which all nodes end."""
+
 
 class Fault(msgspec.Struct, frozen=True):
     """One fault of a schedule.
@@ -55,6 +58,8 @@
       host: whom it meets, for those of one host.
       for_s: how long it lasts, for those that end.
       age_s: of the copy, for a restore.
+      ends_all: whether all nodes are killed as well: nobody knows what the
+        store has lost.
     """
 
     at_s: float
@@ -62,6 +67,7 @@
     host: int
     for_s: float
     age_s: float = 0.0
+    ends_all: bool = False
 
 
 def schedule(seed: int, restores: bool = False) -> list[Fault]:
@@ -93,6 +99,7 @@
                 0,
                 chance.choice(AWAY_S),
                 chance.choice(AGES_S),
+                chance.random() < ENDS_ALL,
             )
         )
     return sorted(faults, key=lambda fault: fault.at_s)
--- a/tests/cover/test_mesh_soak.py
+++ b/tests/cover/test_mesh_soak.py
@@ -36,6 +36,16 @@
         assert others == mesh_soak_faults.schedule(seed)
 
 
+def test_all_nodes_end_in_some_restores():
+    ends = {
+        fault.ends_all
+        for seed in range(20)
+        for fault in mesh_soak_faults.schedule(seed, restores=True)
+        if fault.kind == mesh_soak_faults.RESTORED
+    }
+    assert ends == {True, False}
+
+
 def test_a_seed_gives_one_schedule():
     assert mesh_soak_faults.schedule(7) == mesh_soak_faults.schedule(7)
     assert mesh_soak_faults.schedule(7) != mesh_soak_faults.schedule(8)
