--- a/src/auburnrock/engine/mesh/table.py
+++ b/src/auburnrock/engine/mesh/table.py
@@ -10,7 +10,8 @@
 
 A store that is restored from an older copy may have lost versions of a table.
 So a table says the era of the store in which it was last changed; in another
-era it is settled first, with a version above all that may be lost.
+era it is settled first, with a version, and so tokens, above all that may be
+lost.
 """
 
 import collections
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -219,7 +219,9 @@
             self.news.set()
         if self.keyed and self.record.revision and not live:
             self._doubt(now_ms)
-        if self.keyed and not self.is_restoring(now_ms):
+        if self.keyed and self.is_restoring(now_ms):
+            self.moves.keep()
+        elif self.keyed:
             self.moves.plan(now_ms)
             self.moves.cool(now_ms)
         if self.record.revision:
@@ -253,9 +255,7 @@
 
     def grants_until_ms(self) -> float:
         """Until when keys may be granted; 0 if none may."""
-        if not self.record.is_confirmed:
-            return 0.0
-        return self.lease.ends_ms()
+        return self.record.grants_until_ms()
 
     def _doubt(self, now_ms: float) -> None:
         """Reads the store: another node may have sealed this one's record."""
--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -29,6 +29,7 @@
 from auburnrock_standins import mesh_target
 from auburnrock_standins import processes
 from tests.common import mesh_fleet
+from tests.common import mesh_grants
 from tests.common import mesh_soak_faults
 
 RECOVER_S = 15.0
@@ -37,6 +38,9 @@
 RESTART_S = 0.4
 """The platform starts an ended process again after a short delay."""
 
+TOKENS_SHOWN = 5
+"""One fault concerns many keys."""
+
 CALLERS = 12
 DEADLINE_MS = 1_500
 
@@ -62,6 +66,7 @@
       broken: broken promises, in words.
       attempts: everything that callers sent.
       targets: every start of a target.
+      oracle: checks the tokens of what they hold.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         self.attempts: list[Attempt] = []
         self.targets: list[mesh_target.MeshTarget] = []
         self.hosts: list[mesh_soak_faults.Host] = []
+        self.oracle = mesh_grants.Oracle()
         self.version = 7
         self.began_s = 0.0
 
@@ -114,6 +120,8 @@
                 task.cancel()
             await asyncio.gather(*callers, *watchers, return_exceptions=True)
         self.check_requests()
+        for text in self.oracle.reused[:TOKENS_SHOWN]:
+            self.fail(text)
         for each in self.hosts:
             each.process.kill()
             each.link.server.close()
@@ -132,11 +140,15 @@
         await self.open_link(host)
 
     async def open_link(self, host: mesh_soak_faults.Host) -> None:
-        """Begins to take connections for the store; TCP only."""
+        """Takes connections for the store, if it does not yet; TCP only."""
         address, port = host.addresses["store"].split(":")
-        host.link.server = await asyncio.start_server(
-            host.link.accept, address, int(port)
-        )
+        # Faults of one host may end at one time.
+        async with host.opening:
+            server = host.link.server
+            if server is None or not server.is_serving():
+                host.link.server = await asyncio.start_server(
+                    host.link.accept, address, int(port)
+                )
 
     def configure(self) -> None:
         """Writes a version with a route that only later ones have."""
@@ -179,8 +191,7 @@
             # New connections only; those that are open go on.
             host.link.server.close()
             await asyncio.sleep(fault.for_s)
-            if not host.link.server.is_serving():
-                await self.open_link(host)
+            await self.open_link(host)
         elif fault.kind == "store_loses_answers":
             switches.lose_changes += 3
         elif fault.kind == "store_forgets":
@@ -199,6 +210,8 @@
         elif fault.kind == "lose_answers":
             host.target.behaviour.lose += 3
         elif fault.kind == mesh_soak_faults.RESTORED:
+            for each in self.hosts if fault.ends_all else ():
+                each.process.kill()
             await self.store.drill(fault.age_s, fault.for_s)
         elif fault.kind == "configure":
             self.version += 1
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -1,6 +1,7 @@
 """Schedules of faults for the soak, and the hosts that they meet."""
 
 import abc
+import asyncio
 import json
 import os
 import random
@@ -11,6 +12,7 @@
 from auburnrock_standins import mesh_target
 from auburnrock_standins import processes
 from tests.common import mesh_fleet
+from tests.common import mesh_grants
 
 SERVICES = ("portal", "portal", "portal", "booker", "booker")
 FAULTS_S = 9.0
@@ -43,6 +45,9 @@
 AWAY_S = (0.1, 1.0, 5.0)
 """For how long it is away then."""
 
+ENDS_ALL = 0.4
+"""Part of the restores in which all nodes end."""
+
 
 class Fault(msgspec.Struct, frozen=True):
     """One fault of a schedule.
@@ -53,6 +58,8 @@
       host: whom it meets, for those of one host.
       for_s: how long it lasts, for those that end.
       age_s: of the copy, for a restore.
+      ends_all: whether all nodes are killed as well: nobody knows what the
+        store has lost.
     """
 
     at_s: float
@@ -60,6 +67,7 @@
     host: int
     for_s: float
     age_s: float = 0.0
+    ends_all: bool = False
 
 
 def schedule(seed: int, restores: bool = False) -> list[Fault]:
@@ -91,6 +99,7 @@
                 0,
                 chance.choice(AWAY_S),
                 chance.choice(AGES_S),
+                chance.random() < ENDS_ALL,
             )
         )
     return sorted(faults, key=lambda fault: fault.at_s)
@@ -112,11 +121,13 @@
       deployment: starts its node.
       program: arguments of `python` that start a node.
       targets: every start of a target.
+      oracle: checks the tokens of what they hold.
     """
 
     deployment: processes.Deployment
     program: list[str]
     targets: list[mesh_target.MeshTarget]
+    oracle: mesh_grants.Oracle
 
     @abc.abstractmethod
     def check_holds(self, target: mesh_target.MeshTarget) -> None:
@@ -138,6 +149,7 @@
         }
         self.process: processes.Process | None = None
         self.link: forwarder.Link | None = None
+        self.opening = asyncio.Lock()
         self.starts_of_node = 0
         self.version_seen = 0
 
@@ -201,5 +213,6 @@
         self.target.on_taken = self.fleet.check_holds
         self.target.behaviour.work_s = 0.02
         self.fleet.targets.append(self.target)
+        self.fleet.oracle.watch(self.target)
         await self.target.start()
         return self.target
--- a/tests/cover/test_mesh_plan.py
+++ b/tests/cover/test_mesh_plan.py
@@ -260,6 +260,9 @@
     assert later.rank() > lost.rank()
     assert later.version > lost.version
     assert later.stripes == before.stripes
+    assert later.floor > lost.version
+    assert before.is_dealt()
+    assert not later.is_dealt()
     after = table_module.changed(later, {0: (mesh.life("b"), "")})
     assert after.era == 1
     change = table_module.difference(later, after)
--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -220,6 +220,16 @@
     assert restored.store.value(RECORD) == b"other"
 
 
+async def test_a_change_given_up_for_its_era_is_an_event(restored):
+    client = restored.client()
+    revision = await lost_change(restored, client)
+    await client.read("op/config")
+    before = mesh_restores.LOG.counts.get("era_passed", 0)
+    changing = helper(client).change({RECORD: revision}, {RECORD: b"x"}, [])
+    assert isinstance(await outcome(changing), coordination.EraPassedError)
+    assert mesh_restores.LOG.counts["era_passed"] == before + 1
+
+
 async def test_a_change_that_was_made_in_another_era_is_no_success(restored):
     """Its maker cannot have heard of the restore; the answer names the era."""
     client = restored.client()
@@ -463,6 +473,33 @@
     assert not moved.holds
 
 
+async def test_keys_that_come_back_by_a_lost_move_have_higher_tokens(fleet):
+    """The settled table gave them back under the token that they had before
+    the move; the target takes no row below a token that it has seen."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and len(host.node.ownership.record.record.witnesses) == 3
+            for host in fleet.hosts[:3]
+        )
+    )
+    copy_of(fleet)
+    moved = fleet.hosts[0].target
+    moved.state = "draining"
+    await fleet.until(lambda: not moved.holds and all_held(fleet), 5.0)
+    for host in fleet.hosts:
+        await host.kill_node()
+    fleet.store.restore(5.0)
+    moved.state = "ready"
+    for host in fleet.hosts:
+        await host.start_node()
+    await fleet.until(lambda: moved.holds and all_held(fleet))
+    assert oracle.faults == []
+
+
 async def test_a_lost_first_deal_that_nobody_knows_leaves_one_owner(fleet):
     """Targets held keys by it when the keys were dealt anew, and the tokens
     were given out again."""
@@ -550,6 +587,115 @@
     } == {1}
 
 
+@pytest_asyncio.fixture
+async def late(fleet):
+    """A host that holds keys, with a way to the store that can be cut."""
+    made = mesh_fleet.Host(fleet, 5, "portal")
+    made.link = await mesh_restores.link_to_store(made)
+    fleet.hosts.append(made)
+    await made.start_node()
+    await made.start_target()
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and len(host.node.ownership.record.record.witnesses) == 3
+            and len(host.node.ownership.lease.witnesses) == 1
+            and host.node.ownership.was_live
+            and host.target.holds
+            for host in fleet.hosts
+            if host.service == "portal"
+        )
+    )
+    await fleet.until(lambda: all_held(fleet))
+    yield made
+    set_cut(made, False)
+    made.link.server.close()
+    await asyncio.sleep(0.05)
+
+
+def set_cut(host, is_cut):
+    """Cuts a host's way to the store, or restores it."""
+    host.link.forward.set_cut(is_cut)
+    host.link.backward.set_cut(is_cut)
+
+
+async def test_a_node_without_a_way_to_the_store_keeps_its_keys(fleet, late):
+    """It heard of the era, could not read its record, and its witnesses
+    renewed its term no more."""
+    copy_of(fleet)
+    set_cut(late, True)
+    fleet.store.restore(5.0)
+    node = late.node
+    lost = node.log.counts.get("lease_lost", 0)
+    for _ in range(40):
+        await asyncio.sleep(0.2)
+        assert node.ownership.grants_until_ms() > node.now_ms()
+    assert node.log.counts.get("lease_lost", 0) == lost
+    assert await mesh_restores.until(lambda: all_held(fleet), 1.0)
+    assert coordination.era_of(node.ownership.lease.term) == 1
+    tables = [host.node.ownership.view.tables["portal"] for host in fleet.hosts]
+    assert {table.version for table, _ in tables} == {tables[0][0].version}
+    assert tables[0][0].era == 1
+
+
+async def test_a_lost_table_is_granted_by_no_longer_than_the_lease_before(
+    fleet, late
+):
+    """All others that knew a lost move had ended, and the node that it gave
+    keys to had heard of its record, but could not tell of the move."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    copy_of(fleet)
+    moved = fleet.hosts[0].target
+    moved.state = "draining"
+    await fleet.until(lambda: not moved.holds and all_held(fleet), 5.0)
+    set_cut(late, True)
+    late.node.ownership.store._helpers = list
+    late.node.hub.items = list
+    others = [host for host in fleet.hosts if host is not late]
+    for host in others:
+        await host.kill_node()
+    fleet.store.restore(5.0)
+    moved.state = "ready"
+    for host in others:
+        await host.start_node()
+    assert await mesh_restores.until(lambda: moved.holds, 9.0)
+    await mesh_restores.until(lambda: oracle.faults, 2.0)
+    assert oracle.faults == []
+
+
+async def test_keys_that_were_to_move_stay_until_the_table_is_settled(fleet):
+    """A target let go of them, and no change was made for a term."""
+    await fleet.until(lambda: all_held(fleet))
+    copy_of(fleet)
+    fleet.store.restore(5.0)
+    giver = fleet.hosts[0].node
+    await fleet.until(lambda: giver.store.era == 1)
+    life = fleet.hosts[1].node.holder.life
+    moves = dict.fromkeys(giver.holder.own_stripes()[:100], life)
+    giver.ownership.moves.wanted = moves
+    giver.holder.give(moves)
+    giver.ownership.news.set()
+    await mesh_restores.until(lambda: not all_held(fleet), 0.5)
+    assert await mesh_restores.until(lambda: all_held(fleet), 1.0)
+    assert giver.ownership.is_restoring(giver.now_ms())
+
+
+async def test_a_move_does_not_begin_with_news_of_a_restore(fleet):
+    """The answer that a move waited for told of it as well."""
+    copy_of(fleet)
+    moves = fleet.hosts[0].node.ownership.moves
+    giver = fleet.hosts[0].node
+    life = fleet.hosts[1].node.holder.life
+    moves.wanted = dict.fromkeys(giver.holder.own_stripes()[:100], life)
+    moves.needs_store = True
+    fleet.store.era += 1
+    await moves.ask_store()
+    assert giver.store.era == 1
+    assert not giver.holder.giving
+
+
 async def test_who_knows_a_lost_move_writes_it_again(fleet):
     """Nobody makes another change before, and the keys stay where they are."""
     oracle = mesh_grants.Oracle()
@@ -568,6 +714,32 @@
     assert oracle.faults == []
 
 
+def counted(fleet, cause):
+    """Tables that the nodes' metrics say were written."""
+    return sum(
+        host.node.metrics.registry.get_sample_value(
+            "auburnrock_tables_written_total", {"cause": cause}
+        )
+        or 0
+        for host in fleet.hosts
+    )
+
+
+async def test_metrics_count_tables_put_back_and_settled(fleet):
+    copy_of(fleet)
+    fleet.hosts[0].target.state = "draining"
+    await fleet.until(
+        lambda: not fleet.hosts[0].target.holds and all_held(fleet), 5.0
+    )
+    assert counted(fleet, "put_back") == 0
+    fleet.store.restore(5.0)
+    await fleet.until(lambda: len(tables_written(fleet)) >= 2)
+    await fleet.until(lambda: counted(fleet, "settle") == 1)
+    assert counted(fleet, "put_back") == 1
+    nodes = [host.node for host in fleet.hosts]
+    assert [node.log.counts.get("store_era") for node in nodes] == [1] * 4
+
+
 async def test_a_lost_first_deal_is_written_again(fleet):
     """The keys were dealt anew while targets held them."""
     oracle = mesh_grants.Oracle()
