--- a/tests/common/mesh_restore_world.py
+++ b/tests/common/mesh_restore_world.py
@@ -343,6 +343,7 @@
         self.cut.clear()
         self.blind.clear()
         self.apart.clear()
+        self.late = min(self.late, LATE)
         for name in self.names:
             if not self.targets[name].is_up:
                 self.start_target(name)
