--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -46,7 +46,11 @@
 
 
 class Attempt(msgspec.Struct):
-    """What a caller sent and got; status 0 stands for no whole answer."""
+    """What a caller sent and got; status 0 stands for no whole answer.
+
+    Attributes:
+      took_s: time to its end; 0 while it has none.
+    """
 
     name: str
     path: str
@@ -54,6 +58,11 @@
     host: int
     status: int = 0
     body: bytes = b""
+    took_s: float = 0.0
+
+    def kind(self) -> str:
+        """Begin of its path, which says its route."""
+        return self.path.split("/")[1].partition("-")[0]
 
 
 class Soak(mesh_soak_faults.Fleet):
@@ -110,11 +119,7 @@
                 asyncio.create_task(self.keep_running(host))
                 for host in self.hosts
             ]
-            async with asyncio.TaskGroup() as faults:
-                for fault in mesh_soak_faults.schedule(
-                    self.seed, self.restores
-                ):
-                    faults.create_task(self.bring_about(fault))
+            await self.play()
             await self.until_served("after the last fault")
             for task in (*callers, *watchers):
                 task.cancel()
@@ -163,6 +168,12 @@
 
     # Faults -----------------------------------------------------------------
 
+    async def play(self) -> None:
+        """Brings about all faults of the schedule."""
+        async with asyncio.TaskGroup() as faults:
+            for fault in mesh_soak_faults.schedule(self.seed, self.restores):
+                faults.create_task(self.bring_about(fault))
+
     async def bring_about(self, fault: mesh_soak_faults.Fault) -> None:
         """Waits for a fault's time, begins it and ends it."""
         await asyncio.sleep(fault.at_s)
@@ -242,7 +253,9 @@
                 self.chance.randrange(len(self.hosts)),
             )
             self.attempts.append(attempt)
+            began_s = time.monotonic()
             await self.call(attempt)
+            attempt.took_s = time.monotonic() - began_s
 
     async def call(self, attempt: Attempt) -> None:
         """Sends one request; a broken connection leaves its status 0."""
