Wait for the missed record's node before its record is taken away

Seen: test_a_record_that_was_missed_is_asked_for_from_a_neighbour (known red) failed in one of 8 runs beside load, with a KeyError at its place, before it measures anything. Cause: the fleet counts as settled once every node has every target's report; reports come by pings, entries by other messages, and the test took an entry for known that was still on its way. Ruled out: a longer limit, which would let a slower repair pass. Change: the test waits for the entry.

--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -219,6 +219,8 @@
     compared again and again, as their sums differed."""
     last = fleet.hosts[4].node
     missed = fleet.hosts[1].ip
+    # The fleet is settled once its reports are known, which come by pings.
+    await fleet.until(lambda: missed in last.hub.directory.entries)
     # After a stand-still of the machine it may take itself for a reader, whose
     # listings and watches are counted and would bring the record.
     for sync in (last.own_sync, last.configuration_sync):
