--- a/tests/common/mesh_restore_node.py
+++ b/tests/common/mesh_restore_node.py
@@ -64,6 +64,10 @@
 class Counter:
     """A counter of the metrics that nobody reads."""
 
+    def labels(self, cause: str) -> "Counter":
+        """The counter of one cause."""
+        return self
+
     def inc(self, amount: float = 1.0) -> None:
         """Counts."""
 
@@ -73,6 +77,7 @@
 
     def __init__(self):
         self.keys_moved = Counter()
+        self.tables_written = Counter()
 
 
 class Process:
@@ -213,6 +218,7 @@
             self.hub.directory.tell_own(self.own_entry())
             self.hub.tick()
             rounds += 1
+            self.telling.look_for_era()
             if rounds % RECORDS_EVERY == 0:
                 self.telling.look_for_records()
             await asyncio.sleep(mesh_restore_hub.PING_S)
