--- a/tests/cover/test_mesh_restore.py
+++ b/tests/cover/test_mesh_restore.py
@@ -347,6 +347,25 @@
     await made.stop()
 
 
+def watched(fleet):
+    """An oracle on the grants that all targets accept from here on."""
+    oracle = mesh_grants.Oracle()
+    for host in fleet.hosts:
+        oracle.watch(host.target)
+    return oracle
+
+
+async def witnesses_chosen(fleet, least=1):
+    """Waits until the keyed nodes' records name so many witnesses."""
+    await fleet.until(
+        lambda: all(
+            host.node.ownership.record.record
+            and len(host.node.ownership.record.record.witnesses) >= least
+            for host in fleet.hosts[:3]
+        )
+    )
+
+
 def copy_of(fleet):
     """What is written from here on is lost in the next restore."""
     fleet.clock.now_s += 10.0
@@ -385,16 +404,8 @@
 
     The target ends and starts again, its node does too and reads the store.
     """
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
-    await fleet.until(
-        lambda: all(
-            host.node.ownership.record.record
-            and host.node.ownership.record.record.witnesses
-            for host in fleet.hosts[:3]
-        )
-    )
+    oracle = watched(fleet)
+    await witnesses_chosen(fleet)
     copy_of(fleet)
     moved = fleet.hosts[0]
     moved.target.state = "draining"
@@ -421,16 +432,8 @@
 
 async def test_a_takeover_that_the_store_lost_leaves_one_owner(fleet):
     """The dead node's record is whole again, and its keys were moved."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
-    await fleet.until(
-        lambda: all(
-            host.node.ownership.record.record
-            and host.node.ownership.record.record.witnesses
-            for host in fleet.hosts[:3]
-        )
-    )
+    oracle = watched(fleet)
+    await witnesses_chosen(fleet)
     copy_of(fleet)
     dead = fleet.hosts[0]
     await dead.kill_node()
@@ -452,16 +455,8 @@
 async def test_who_starts_in_an_era_grants_only_what_its_target_holds(fleet):
     """The store's table gave it keys that a lost move had given to others,
     and all who knew of the move had ended."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
-    await fleet.until(
-        lambda: all(
-            host.node.ownership.record.record
-            and len(host.node.ownership.record.record.witnesses) == 3
-            for host in fleet.hosts[:3]
-        )
-    )
+    oracle = watched(fleet)
+    await witnesses_chosen(fleet, 3)
     copy_of(fleet)
     moved = fleet.hosts[0].target
     moved.state = "draining"
@@ -493,16 +488,8 @@
 async def test_keys_that_come_back_by_a_lost_move_have_higher_tokens(fleet):
     """The settled table gave them back under the token that they had before
     the move; the target takes no row below a token that it has seen."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
-    await fleet.until(
-        lambda: all(
-            host.node.ownership.record.record
-            and len(host.node.ownership.record.record.witnesses) == 3
-            for host in fleet.hosts[:3]
-        )
-    )
+    oracle = watched(fleet)
+    await witnesses_chosen(fleet, 3)
     copy_of(fleet)
     moved = fleet.hosts[0].target
     moved.state = "draining"
@@ -520,9 +507,7 @@
 async def test_a_lost_first_deal_that_nobody_knows_leaves_one_owner(fleet):
     """Targets held keys by it when the keys were dealt anew, and the tokens
     were given out again."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
+    oracle = watched(fleet)
     # It is given more than before when the keys are dealt anew.
     fleet.hosts[0].target.slots *= 3
     keys = -(-model.KEYS // mesh_grants.STRIPE_KEYS)
@@ -660,9 +645,7 @@
 ):
     """All others that knew a lost move had ended, and the node that it gave
     keys to had heard of its record, but could not tell of the move."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
+    oracle = watched(fleet)
     copy_of(fleet)
     moved = fleet.hosts[0].target
     moved.state = "draining"
@@ -715,9 +698,7 @@
 
 async def test_who_knows_a_lost_move_writes_it_again(fleet):
     """Nobody makes another change before, and the keys stay where they are."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
+    oracle = watched(fleet)
     copy_of(fleet)
     fleet.hosts[0].target.state = "draining"
     await fleet.until(
@@ -759,16 +740,8 @@
 
 async def test_a_lost_first_deal_is_written_again(fleet):
     """The keys were dealt anew while targets held them."""
-    oracle = mesh_grants.Oracle()
-    for host in fleet.hosts:
-        oracle.watch(host.target)
-    await fleet.until(
-        lambda: all(
-            host.node.ownership.record.record
-            and host.node.ownership.record.record.witnesses
-            for host in fleet.hosts[:3]
-        )
-    )
+    oracle = watched(fleet)
+    await witnesses_chosen(fleet)
     copy_of(fleet)
     store = fleet.store
     store.note_write(TABLE, None)
