--- a/tests/cover/test_mesh_ownership.py
+++ b/tests/cover/test_mesh_ownership.py
@@ -266,11 +266,11 @@
     executor = fleet.hosts[0].node.executor
     executor.pace.mean = executor.pace.settled = 0.2
     name = fleet.hosts[0].ip
-    others = [host.node for host in fleet.hosts[1:]]
+    others = [host.node.hub.directory for host in fleet.hosts[1:]]
+    # The fleet is settled once its reports are known, which come by pings.
+    await fleet.until(lambda: all(name in each.entries for each in others))
     await fleet.until(
-        lambda: all(
-            node.hub.directory.entries[name].pace == 0.2 for node in others
-        )
+        lambda: all(each.entries[name].pace == 0.2 for each in others)
     )
     await fleet.hosts[0].kill_node()
     await fleet.hosts[0].start_node()
