--- a/tests/cover/test_mesh_telling.py
+++ b/tests/cover/test_mesh_telling.py
@@ -100,6 +100,8 @@
 async def test_a_neighbour_that_tells_what_is_old_hears_what_is_new(fleet):
     hub = fleet.hosts[0].node.hub
     giver, other = (host.ip for host in fleet.hosts[1:3])
+    # The fleet is settled once its reports are known, which come by pings.
+    await fleet.until(lambda: other in hub.directory.entries)
     known = hub.directory.entries[other]
     older = msgspec.structs.replace(known, version=known.version - 1)
     hub.take_differing(giver, [older])
