Log how nodes learn of crashing requests

New events crash_reported and suspect_cleared; crash_suspect names the target, target_declined and answer_lost the fingerprint, and auburnctl explain joins all lines of a minute with it. No decision changes.

--- a/src/auburnrock/ctl/explain.py
+++ b/src/auburnrock/ctl/explain.py
@@ -24,6 +24,10 @@
 """How long after the request's last line state changes are included, in
 milliseconds. A process may log the cause of a failure after its effect."""
 
+SUSPICION_MS = 60_000
+"""How long before the request's last line the crashes of requests with the same
+fingerprint are included, in milliseconds; a node forgets them then."""
+
 CONTEXT_EVENTS = frozenset(
     {
         "configuration_in_force",
@@ -63,7 +67,8 @@
       attempt: id that the caller gave to the attempt.
       request: events that contain the attempt id, in order of time.
       around: state changes that the processes of these events logged at about
-        that time, in order of time.
+        that time, and what any process logged of requests with the same
+        fingerprint, in order of time.
       left_out: processes that dropped log lines at about that time; events of
         the request may be among the dropped lines.
     """
@@ -112,11 +117,19 @@
     last_ms = request[-1].wall_ms + CONTEXT_AFTER_MS
     near = [e for e in events if first_ms <= e.wall_ms <= last_ms]
     processes = {event.process for event in request}
-    around = [
-        event
-        for event in near
-        if event.event in CONTEXT_EVENTS and event.process in processes
-    ]
+    marks = {_field_value(event, "mark") for event in request} - {None}
+    suspected_ms = request[-1].wall_ms - SUSPICION_MS
+
+    def is_context(event: views.Event) -> bool:
+        if event.wall_ms > last_ms:
+            return False
+        if _field_value(event, "mark") in marks:
+            return event.wall_ms >= suspected_ms
+        is_change = event.event in CONTEXT_EVENTS
+        is_near = event.wall_ms >= first_ms
+        return is_change and is_near and event.process in processes
+
+    around = [e for e in events if e not in request and is_context(e)]
     left_out = sorted(
         {event.process for event in near if event.event == "lines_left_out"}
     )
--- a/src/auburnrock/engine/mesh/crash_suspects.py
+++ b/src/auburnrock/engine/mesh/crash_suspects.py
@@ -87,15 +87,25 @@
             counts.append((suspect, count))
         return counts
 
-    def merge_count(self, now_ms: float, suspect: str, count: int) -> None:
-        """Merges a count that another node sent; the higher count wins."""
-        if count > self.crash_count(now_ms, suspect):
-            self._set_count(now_ms, suspect, count)
+    def merge_count(self, now_ms: float, suspect: str, count: int) -> bool:
+        """Merges a count that another node sent; the higher count wins.
+
+        Returns:
+          Whether the count known here has changed.
+        """
+        if count <= self.crash_count(now_ms, suspect):
+            return False
+        self._set_count(now_ms, suspect, count)
+        return True
 
-    def on_answer(self, suspect: str) -> None:
-        """Clears a request that was completed, since it crashes no target."""
-        if self.crashes:
-            self.crashes.pop(suspect, None)
+    def on_answer(self, suspect: str) -> int:
+        """Clears a request that was completed, since it crashes no target.
+
+        Returns:
+          The count that the request had.
+        """
+        entry = self.crashes.pop(suspect, None) if self.crashes else None
+        return entry[0] if entry else 0
 
     def _set_count(self, now_ms: float, suspect: str, count: int) -> None:
         self.crashes.pop(suspect, None)
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -416,7 +416,15 @@
             )
         now_ms = self.now_ms()
         work_ms = now_ms - sent_ms
-        self.suspects.on_answer(run.fingerprint)
+        cleared = self.suspects.on_answer(run.fingerprint)
+        if cleared:
+            self.log.write(
+                "suspect_cleared",
+                attempt=run.attempt,
+                mark=run.fingerprint,
+                crashes=cleared,
+                status=response.status,
+            )
         if response.status < 300 and run.objective_ms > 0:
             self.service_time_ratio.add(now_ms, work_ms, run.objective_ms)
         return peer_messages.Answered(
@@ -499,6 +507,7 @@
             kind=kind.value,
             reached=reached,
             reason=reason,
+            mark=run.fingerprint,
             key=run.key,
             table=self.holder.table.version if self.holder.table else 0,
         )
@@ -543,6 +552,7 @@
             kind=kind.value,
             target=self.target.target if self.target else "",
             sent_ago_ms=int(self.now_ms() - sent_ms),
+            mark=run.fingerprint,
             reason=reason,
         )
         return peer_messages.Lost(run.number, kind.value, self.load_report())
@@ -578,4 +588,9 @@
             if now_ms - broken_ms < CRASH_WINDOW_MS
         }
         for fingerprint, count in self.suspects.on_crash(now_ms, fingerprints):
-            self.log.write("crash_suspect", mark=fingerprint, crashes=count)
+            self.log.write(
+                "crash_suspect",
+                mark=fingerprint,
+                crashes=count,
+                target=self.target.target if self.target else "",
+            )
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -462,7 +462,10 @@
         """
         now_ms = self.now_ms()
         for mark, count in ping.suspects:
-            self.suspects.merge_count(now_ms, mark, count)
+            if self.suspects.merge_count(now_ms, mark, count):
+                self.log.write(
+                    "crash_reported", mark=mark, crashes=count, peer=name
+                )
         self.apply_load_report(name, ping.report, ping.versions)
         return self.ownership.on_ping(name, ping)
 
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -45,3 +45,19 @@
 def test_a_log_line_with_the_prefix_of_a_log_collector_is_parsed():
     line = "   1.23 host-1 time_ms=5 process=a event=stop busy=2"
     assert timeline.parse_line(line).event == "stop"
+
+
+def test_crashes_of_the_same_request_are_shown_from_all_processes():
+    lines = """\
+time_ms=1000 process=b event=crash_suspect mark=m1 crashes=1 target=t-b
+time_ms=1100 process=c event=crash_reported mark=m1 crashes=1 peer=b
+time_ms=1200 process=c event=crash_suspect mark=m2 crashes=1 target=t-c
+time_ms=30000 process=d event=target_declined attempt=at-1 mark=m1
+time_ms=30001 process=a event=request_refused attempt=at-1 kind=quarantined
+"""
+    events = [timeline.parse_line(line) for line in lines.splitlines()]
+    explanation = explain.explain_attempt("at-1", events)
+    assert [(e.process, e.event) for e in explanation.around] == [
+        ("b", "crash_suspect"),
+        ("c", "crash_reported"),
+    ]
