--- a/src/auburnrock_standins/mesh_target.py
+++ b/src/auburnrock_standins/mesh_target.py
@@ -50,6 +50,8 @@
       unframed: whether responses have no length.
       cut: whether responses are cut off within the body.
       status: HTTP status of the responses.
+      crash_path: prefix of the paths of requests that crash the target; empty
+        for none.
     """
 
     work_s: float = 0.0
@@ -58,6 +60,7 @@
     unframed: bool = False
     cut: bool = False
     status: int = 200
+    crash_path: str = ""
 
 
 class MeshTarget:
@@ -252,7 +255,12 @@
             )
         )
         await asyncio.sleep(self.behaviour.work_s)
-        return self.answer(writer, attempt, head[0].split(" ")[1])
+        path = head[0].split(" ")[1]
+        crash_path = self.behaviour.crash_path
+        if crash_path and path.startswith(crash_path):
+            await self.crash()
+            return False
+        return self.answer(writer, attempt, path)
 
     def answer(
         self, writer: asyncio.StreamWriter, attempt: str, path: str
--- /dev/null
+++ b/tests/cover/test_mesh_crash_suspects.py
@@ -0,0 +1,63 @@
+"""Requests that crash the targets that run them, on a fleet of nodes."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from tests.common import mesh_fleet
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+BOOKERS = 5
+CRASHING = "/book/crash"
+"""Path of requests that crash their targets. They are not idempotent, so that
+no node sends one again by itself."""
+
+
+@pytest_asyncio.fixture(loop_scope="module")
+async def fleet():
+    made = mesh_fleet.Fleet()
+    await made.start("portal", *["booker"] * BOOKERS)
+    for host in made.hosts:
+        host.target.behaviour.crash_path = CRASHING
+    yield made
+    await made.stop()
+
+
+def is_down(host):
+    return not host.target.server.is_serving()
+
+
+async def crash_targets(fleet):
+    """Sends copies of one request at all bookers at the same time."""
+    bookers = fleet.hosts[1:]
+    for host in bookers:
+        host.target.behaviour.work_s = 0.1
+    await asyncio.gather(
+        *(
+            fleet.send_request(host, CRASHING, method="POST", data=b"d")
+            for host in bookers
+            for _ in range(2)
+        )
+    )
+    crashed = [host for host in bookers if is_down(host)]
+    await fleet.wait_until(
+        lambda: all(host.node.executor.target is None for host in crashed)
+    )
+    return crashed
+
+
+async def test_a_request_that_crashes_targets_at_once_runs_at_no_more(fleet):
+    crashed = await crash_targets(fleet)
+    assert len(crashed) >= 3
+    for host in crashed:
+        await host.start_target()
+        host.target.behaviour.crash_path = CRASHING
+    await fleet.wait_until(fleet.is_settled)
+    answers = [
+        await fleet.send_request(host, CRASHING, method="POST", data=b"d")
+        for host in fleet.hosts[1:]
+    ]
+    assert [host.ip for host in fleet.hosts if is_down(host)] == []
+    assert [status for status, _, _ in answers] == [503] * BOOKERS
