Count the crashes of a request by the incarnations that crashed

Cause: each node kept a number per request, nodes sent each other the numbers, and the higher one won. Crashes that several nodes observe within the time of a report (0.3 s, 1 s in large fleets) merged into one. The class: a counter that several nodes increment and merge by the maximum.

Ruled out: other fingerprints by host (copies came at hosts of one service).

Change: a node keeps the set of incarnations that crashed under a request, with the age of each crash; merging is a union, and the count is its size. What has fewest crashes is evicted first, where it was the oldest.

--- a/src/auburnrock/engine/mesh/crash_suspects.py
+++ b/src/auburnrock/engine/mesh/crash_suspects.py
@@ -3,11 +3,21 @@
 A request is identified by its fingerprint, so that a retry by the caller counts
 as the same request. All requests that a target was running when it crashed are
 suspects; a complete answer clears a request. A request that reaches the limit
-of crashes is refused for a while. Nodes send each other their crash counts.
+of crashes is refused for a while.
+
+Nodes send each other the crashes that they know, and each node counts them. The
+crashes of a request are a grow-only set (Shapiro et al., 2011) of incarnations
+of targets: nodes that observe crashes at the same time lose none of them, and a
+crash that is reported more than once counts once.
 """
 
+from collections.abc import Iterable
+
+import msgspec
 import xxhash
 
+from auburnrock.engine.mesh import model
+
 CRASHES_MAX = 3
 """Number of crashes at which a request is refused. At three, a request that
 twice ran at the same time as the one that causes the crashes is still
@@ -18,13 +28,40 @@
 `CRASHES_MAX`."""
 
 FORGOTTEN_AFTER_MS = 60_000.0
-"""Time after a request's latest crash at which its count expires, in
+"""Time after a request's latest crash at which its crashes are forgotten, in
 milliseconds."""
 
 SUSPECTS_MAX = 1_024
-"""Maximum number of suspects, which bounds the memory. Those with the oldest
+"""Maximum number of suspects, which bounds the memory. Those with the fewest
 crashes are evicted first."""
 
+CRASHES_KEPT_MAX = 8
+"""Maximum number of crashes that are kept for one suspect, the latest ones."""
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of a target.
+
+    Attributes:
+      target: identifies the incarnation of the target, see `crash_id`.
+      age_ms: time since the crash, in milliseconds.
+    """
+
+    target: int
+    age_ms: int
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes of targets that were running a request.
+
+    Attributes:
+      fingerprint: fingerprint of the request.
+      crashes: the crashes.
+    """
+
+    fingerprint: str
+    crashes: list[Crash]
+
 
 def fingerprint(
     method: bytes, host: bytes, path: bytes, caller: str, body: bytes
@@ -40,18 +77,24 @@
     return digest.hexdigest()
 
 
+def crash_id(incarnation: model.Incarnation) -> int:
+    """Returns a short identifier of the crash that ended an incarnation."""
+    text = f"{incarnation.node} {incarnation.target} {incarnation.started_ms}"
+    # 48 bits take fewer bytes in MessagePack than a string.
+    return xxhash.xxh64_intdigest(text.encode()) & 0xFFFFFFFFFFFF
+
+
 class CrashSuspects:
-    """Crash counts of requests, as far as this node knows them.
+    """Crashes of requests, as far as this node knows them.
 
     Attributes:
-      crashes: count of crashes and time of the latest one, by fingerprint;
-        oldest first.
+      crashes: time of each crash by `crash_id`, by fingerprint.
     """
 
     __slots__ = ("crashes",)
 
     def __init__(self):
-        self.crashes: dict[str, tuple[int, float]] = {}
+        self.crashes: dict[str, dict[int, float]] = {}
 
     def crash_count(self, now_ms: float, suspect: str) -> int:
         """Number of crashes that a request may have caused.
@@ -60,55 +103,98 @@
           now_ms: the time.
           suspect: fingerprint of the request.
         """
-        entry = self.crashes.get(suspect)
-        if entry is None:
+        crashes = self.crashes.get(suspect)
+        if crashes is None:
             return 0
-        if now_ms - entry[1] > FORGOTTEN_AFTER_MS:
+        if now_ms - max(crashes.values()) > FORGOTTEN_AFTER_MS:
             del self.crashes[suspect]
             return 0
-        return entry[0]
+        return len(crashes)
 
     def on_crash(
-        self, now_ms: float, suspects: set[str]
-    ) -> list[tuple[str, int]]:
-        """Counts a crash of a target.
+        self,
+        now_ms: float,
+        incarnation: model.Incarnation,
+        suspects: Iterable[str],
+    ) -> list[Suspicion]:
+        """Records a crash of a target.
 
         Args:
           now_ms: the time.
+          incarnation: the incarnation of the target that has crashed.
           suspects: fingerprints of the requests that the target was running.
 
         Returns:
-          The new count of each of these requests, with its fingerprint.
+          What was not known before.
         """
-        counts = []
-        for suspect in suspects:
-            count = self.crash_count(now_ms, suspect) + 1
-            self._set_count(now_ms, suspect, count)
-            counts.append((suspect, count))
-        return counts
+        crash = Crash(crash_id(incarnation), 0)
+        news = (
+            self.merge(now_ms, Suspicion(suspect, [crash]))
+            for suspect in suspects
+        )
+        return [each for each in news if each is not None]
 
-    def merge_count(self, now_ms: float, suspect: str, count: int) -> bool:
-        """Merges a count that another node sent; the higher count wins.
+    def merge(self, now_ms: float, suspicion: Suspicion) -> Suspicion | None:
+        """Merges the crashes of a request that another node knows.
 
         Returns:
-          Whether the count known here has changed.
+          What was not known before; None if all was.
         """
-        if count <= self.crash_count(now_ms, suspect):
-            return False
-        self._set_count(now_ms, suspect, count)
-        return True
+        suspect = suspicion.fingerprint
+        # Crashes are forgotten together.
+        self.crash_count(now_ms, suspect)
+        known = self.crashes.get(suspect, {})
+        news = [
+            crash
+            for crash in suspicion.crashes
+            if crash.target not in known and crash.age_ms <= FORGOTTEN_AFTER_MS
+        ]
+        if not news:
+            return None
+        if suspect not in self.crashes:
+            self._make_room()
+            self.crashes[suspect] = known
+        for crash in news:
+            known[crash.target] = now_ms - crash.age_ms
+        while len(known) > CRASHES_KEPT_MAX:
+            del known[min(known, key=known.__getitem__)]
+        news = [crash for crash in news if crash.target in known]
+        return Suspicion(suspect, news) if news else None
 
     def on_answer(self, suspect: str) -> int:
         """Clears a request that was completed, since it crashes no target.
 
         Returns:
-          The count that the request had.
+          The number of crashes that the request may have caused.
         """
-        entry = self.crashes.pop(suspect, None) if self.crashes else None
-        return entry[0] if entry else 0
-
-    def _set_count(self, now_ms: float, suspect: str, count: int) -> None:
-        self.crashes.pop(suspect, None)
-        if len(self.crashes) >= SUSPECTS_MAX:
-            del self.crashes[next(iter(self.crashes))]
-        self.crashes[suspect] = (count, now_ms)
+        crashes = self.crashes.pop(suspect, None) if self.crashes else None
+        return len(crashes) if crashes else 0
+
+    def known(self, now_ms: float, limit: int) -> list[Suspicion]:
+        """Returns up to `limit` suspicions, those with most crashes first."""
+        counts = {
+            suspect: self.crash_count(now_ms, suspect)
+            for suspect in list(self.crashes)
+        }
+        suspects = sorted(self.crashes, key=lambda each: -counts[each])
+        return [
+            Suspicion(
+                suspect,
+                [
+                    Crash(target, round(now_ms - crashed_ms))
+                    for target, crashed_ms in self.crashes[suspect].items()
+                ],
+            )
+            for suspect in suspects[:limit]
+        ]
+
+    def _make_room(self) -> None:
+        """Evicts the least suspected request if there are too many."""
+        if len(self.crashes) < SUSPECTS_MAX:
+            return
+
+        def suspicion(suspect: str) -> tuple[int, float]:
+            crashes = self.crashes[suspect]
+            return len(crashes), max(crashes.values())
+
+        del self.crashes[min(self.crashes, key=suspicion)]
--- a/src/auburnrock/engine/mesh/peer_messages.py
+++ b/src/auburnrock/engine/mesh/peer_messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from auburnrock.engine.mesh import crash_suspects
 from auburnrock.engine.mesh import key_table as table_module
 from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import target_selection
@@ -67,7 +68,7 @@
       report: load of the sender's target.
       versions: versions that the sender knows; None if they are the same as
         last sent on this connection.
-      suspects: fingerprints of requests that may crash targets, with counts.
+      suspects: crashes of targets, by the requests that they were running.
       digest: digest of the sender's directory; 0 if the receiver need not
         compare it.
     """
@@ -78,7 +79,7 @@
     term: int
     report: target_selection.LoadReport
     versions: Versions | None
-    suspects: list[tuple[str, int]]
+    suspects: list[crash_suspects.Suspicion]
     digest: int = 0
 
 
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -53,6 +53,25 @@
 """Waits in the queue longer than this are logged."""
 
 
+class BrokenConnection:
+    """A connection that broke before the response to a request.
+
+    Attributes:
+      broken_ms: when it broke.
+      target: the target's heartbeat when the request was sent.
+      fingerprint: fingerprint of the request.
+    """
+
+    __slots__ = ("broken_ms", "fingerprint", "target")
+
+    def __init__(
+        self, broken_ms: float, target: model.Heartbeat, fingerprint: str
+    ):
+        self.broken_ms = broken_ms
+        self.target = target
+        self.fingerprint = fingerprint
+
+
 class Executor:
     """Runs requests at the target beside this node, through a queue.
 
@@ -69,8 +88,7 @@
       closing: whether this process ends once the running requests have ended.
       resumed: incarnation of the target that the former process of this node
         knew, until the first heartbeat is received here; None after.
-      broken_connections: time and request fingerprint of each connection that
-        broke.
+      broken_connections: connections to the target that broke lately.
     """
 
     def __init__(
@@ -104,7 +122,7 @@
         self.resumed: model.Incarnation | None = None
         self.last_number = 0
         self.decision_futures: dict[int, asyncio.Future] = {}
-        self.broken_connections: list[tuple[float, str]] = []
+        self.broken_connections: list[BrokenConnection] = []
         self.on_target_ended: Callable[[], None] = lambda: None
         self.checking_port = False
         self.loop = asyncio.get_running_loop()
@@ -339,7 +357,7 @@
             connection = await self.client.acquire(idle_ms)
         except http_client.ConnectError as error:
             if error.no_listener and self.target is target:
-                self._record_crash()
+                self._record_crash(target)
                 self.mark_target_ended("connection_refused")
             return self._refused(
                 run, errors.ErrorKind.TARGET_REFUSED, 100.0, str(error)
@@ -367,7 +385,7 @@
             return self._lost(run, errors.ErrorKind.DEADLINE_EXCEEDED, now_ms)
         except http_client.ConnectionBrokenError as error:
             connection.abort()
-            self._record_broken_connection(run.fingerprint)
+            self._record_broken_connection(target, run.fingerprint)
             return self._lost(
                 run, errors.ErrorKind.OUTCOME_UNKNOWN, now_ms, str(error)
             )
@@ -557,9 +575,13 @@
         )
         return peer_messages.Lost(run.number, kind.value, self.load_report())
 
-    def _record_broken_connection(self, fingerprint: str) -> None:
+    def _record_broken_connection(
+        self, target: model.Heartbeat, fingerprint: str
+    ) -> None:
         """Records a broken connection, and schedules a check of the port."""
-        self.broken_connections.append((self.now_ms(), fingerprint))
+        self.broken_connections.append(
+            BrokenConnection(self.now_ms(), target, fingerprint)
+        )
         if not self.checking_port:
             self.checking_port = True
             self.loop.call_later(CRASH_CHECK_MS / 1_000, self._check_port)
@@ -574,23 +596,32 @@
             self.client.release(await self.client.open())
         except http_client.ConnectError as error:
             if error.no_listener and self.target is target:
-                self._record_crash()
+                for broken in list(self.broken_connections):
+                    self._record_crash(broken.target)
                 self.mark_target_ended("crash")
         finally:
             self.checking_port = False
             self.broken_connections.clear()
 
-    def _record_crash(self) -> None:
+    def _record_crash(self, target: model.Heartbeat) -> None:
+        """Suspects the requests that a target was running when it crashed."""
         now_ms = self.now_ms()
+        incarnation = model.Incarnation(
+            self.settings.ip, target.target, target.started_ms
+        )
         fingerprints = {
-            fingerprint
-            for broken_ms, fingerprint in self.broken_connections
-            if now_ms - broken_ms < CRASH_WINDOW_MS
+            broken.fingerprint
+            for broken in self.broken_connections
+            if now_ms - broken.broken_ms < CRASH_WINDOW_MS
+            and broken.target.target == target.target
+            and broken.target.started_ms == target.started_ms
         }
-        for fingerprint, count in self.suspects.on_crash(now_ms, fingerprints):
+        news = self.suspects.on_crash(now_ms, incarnation, fingerprints)
+        for suspicion in news:
+            mark = suspicion.fingerprint
             self.log.write(
                 "crash_suspect",
-                mark=fingerprint,
-                crashes=count,
-                target=self.target.target if self.target else "",
+                mark=mark,
+                crashes=self.suspects.crash_count(now_ms, mark),
+                target=target.target,
             )
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -444,10 +444,25 @@
                     entry.incarnation, entry.slots, entry.service_time_ratio
                 )
 
-    def suspects_for_ping(self) -> list[tuple[str, int]]:
-        """Returns the suspected requests for peers, the latest last."""
-        known = list(self.suspects.crashes.items())[-SUSPECTS_PER_PING_MAX:]
-        return [(mark, count) for mark, (count, _) in known]
+    def suspects_for_ping(self) -> list[suspects_module.Suspicion]:
+        """Returns the suspected requests for peers."""
+        return self.suspects.known(self.now_ms(), SUSPECTS_PER_PING_MAX)
+
+    def merge_suspicions(
+        self, peer: str, suspicions: list[suspects_module.Suspicion]
+    ) -> None:
+        """Merges the crashes of requests that a peer reports."""
+        now_ms = self.now_ms()
+        for suspicion in suspicions:
+            if self.suspects.merge(now_ms, suspicion) is None:
+                continue
+            mark = suspicion.fingerprint
+            self.log.write(
+                "crash_reported",
+                mark=mark,
+                crashes=self.suspects.crash_count(now_ms, mark),
+                peer=peer,
+            )
 
     def on_pong(self, name: str, pong: peer_messages.Pong) -> None:
         """Handles a pong: the peer's load, versions and renewal."""
@@ -460,12 +475,7 @@
         Returns:
           The lease term that is renewed for the peer; 0 for none.
         """
-        now_ms = self.now_ms()
-        for mark, count in ping.suspects:
-            if self.suspects.merge_count(now_ms, mark, count):
-                self.log.write(
-                    "crash_reported", mark=mark, crashes=count, peer=name
-                )
+        self.merge_suspicions(name, ping.suspects)
         self.apply_load_report(name, ping.report, ping.versions)
         return self.ownership.on_ping(name, ping)
 
--- a/src/auburnrock/shells/mesh/peer_connections.py
+++ b/src/auburnrock/shells/mesh/peer_connections.py
@@ -15,6 +15,7 @@
 
 from auburnrock import errors
 from auburnrock.engine.mesh import connection_state
+from auburnrock.engine.mesh import crash_suspects
 from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peer_messages
@@ -184,7 +185,7 @@
         target now.
       versions: returns the versions of the store's items known here.
       load_report: returns the load of this node's target.
-      suspects: returns the crash counts to send to peers.
+      suspects: returns the crashes of requests to send to peers.
       term_for: returns the lease term to renew at a witness; 0 for other
         nodes.
       witnesses: returns the nodes that renew this node's lease.
@@ -249,7 +250,7 @@
         self.should_fail_over: Callable[[peer_messages.RunRequest], bool]
         self.versions: Callable[[], peer_messages.Versions]
         self.load_report: Callable[[], target_selection.LoadReport]
-        self.suspects: Callable[[], list[tuple[str, int]]]
+        self.suspects: Callable[[], list[crash_suspects.Suspicion]]
         self.term_for: Callable[[str], int]
         self.witnesses: Callable[[], set[str]]
         self.on_pong: Callable[[str, peer_messages.Pong], None]
--- /dev/null
+++ b/tests/cover/test_mesh_crash_counts.py
@@ -0,0 +1,85 @@
+"""Counting of the crashes that a request may have caused, by many nodes."""
+
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from auburnrock.engine.mesh import crash_suspects
+from tests.common import mesh
+
+SUSPECT = "4e1f8554695518bb"
+
+
+def exchange(now_ms, *nodes):
+    """Lets each node report to each other all that it knows."""
+    for sender, receiver in itertools.permutations(nodes, 2):
+        for suspicion in sender.known(now_ms, 64):
+            receiver.merge(now_ms, suspicion)
+
+
+def test_crashes_that_several_nodes_count_at_once_add_up():
+    nodes = [crash_suspects.CrashSuspects() for _ in range(4)]
+    for place, node in enumerate(nodes):
+        node.on_crash(0.0, mesh.incarnation(f"n{place}"), {SUSPECT})
+    exchange(100.0, *nodes)
+    assert [each.crash_count(100.0, SUSPECT) for each in nodes] == [4] * 4
+
+
+def test_a_crash_that_a_node_observes_twice_counts_once():
+    node = crash_suspects.CrashSuspects()
+    assert node.on_crash(0.0, mesh.incarnation("n1"), {SUSPECT})
+    assert not node.on_crash(12.0, mesh.incarnation("n1"), {SUSPECT})
+    assert node.crash_count(12.0, SUSPECT) == 1
+    node.on_crash(20.0, mesh.incarnation("n1", started_ms=2), {SUSPECT})
+    assert node.crash_count(20.0, SUSPECT) == 2
+
+
+@hypothesis.given(strategies.integers(0, 2**32 - 1))
+def test_nodes_agree_whatever_the_order_of_their_reports(seed):
+    rng = random.Random(seed)
+    nodes = [crash_suspects.CrashSuspects() for _ in range(3)]
+    reports = [
+        crash_suspects.Suspicion(SUSPECT, [crash_suspects.Crash(target, 0)])
+        for target in range(5)
+    ]
+    for node in nodes:
+        order = reports * 2
+        rng.shuffle(order)
+        for report in order:
+            node.merge(rng.uniform(0.0, 1_000.0), report)
+    counts = [each.crash_count(1_000.0, SUSPECT) for each in nodes]
+    assert counts == [len(reports)] * 3
+
+
+def test_crashes_are_forgotten_by_nodes_that_report_them_to_each_other():
+    nodes = [crash_suspects.CrashSuspects() for _ in range(2)]
+    nodes[0].on_crash(0.0, mesh.incarnation("n1"), {SUSPECT})
+    end_ms = int(2 * crash_suspects.FORGOTTEN_AFTER_MS)
+    for now_ms in range(300, end_ms, 300):
+        exchange(float(now_ms), *nodes)
+    assert [each.crash_count(end_ms, SUSPECT) for each in nodes] == [0, 0]
+
+
+def test_a_request_with_many_crashes_is_kept_among_new_suspects():
+    node = crash_suspects.CrashSuspects()
+    for place in range(3):
+        node.on_crash(0.0, mesh.incarnation(f"n{place}"), {SUSPECT})
+    others = {f"s{n}" for n in range(2 * crash_suspects.SUSPECTS_MAX)}
+    node.on_crash(1.0, mesh.incarnation("n9"), others)
+    assert node.crash_count(1.0, SUSPECT) == 3
+    assert len(node.crashes) <= crash_suspects.SUSPECTS_MAX
+    assert [each.fingerprint for each in node.known(1.0, 1)] == [SUSPECT]
+
+
+def test_reports_of_more_crashes_than_are_kept_come_to_an_end():
+    nodes = [crash_suspects.CrashSuspects() for _ in range(2)]
+    count = 3 * crash_suspects.CRASHES_KEPT_MAX
+    for place in range(count):
+        incarnation = mesh.incarnation(f"n{place}")
+        nodes[place % 2].on_crash(float(place), incarnation, {SUSPECT})
+    exchange(float(count), *nodes)
+    for sender, receiver in itertools.permutations(nodes, 2):
+        for suspicion in sender.known(float(count), 64):
+            assert receiver.merge(float(count), suspicion) is None
