Clear a suspected request only by a success, and at all nodes

What callers would see: a request that crashes targets is accepted again after a failing target answered it with 500; or a harmless request is refused for a minute at all other nodes after one node has cleared it.

Since simultaneous crashes count in full now, a popular request that several crashed targets were running depends on this.

Change: an answer below 500 marks the crashes as cleared, and the mark is reported like a crash and wins over it (a two-phase set). Later crashes count.

Evidence: test_only_an_answer_that_is_no_failure_clears_a_request failed on the commit before (count 0 at one node after a 500) and passes; test_an_answer_clears_a_request_at_all_nodes_for_good.

--- a/src/auburnrock/engine/mesh/crash_suspects.py
+++ b/src/auburnrock/engine/mesh/crash_suspects.py
@@ -6,9 +6,10 @@
 of crashes is refused for a while.
 
 Nodes send each other the crashes that they know, and each node counts them. The
-crashes of a request are a grow-only set (Shapiro et al., 2011) of incarnations
-of targets: nodes that observe crashes at the same time lose none of them, and a
-crash that is reported more than once counts once.
+crashes of a request are a two-phase set (Shapiro et al., 2011) of incarnations
+of targets: nodes that observe crashes at the same time lose none of them, a
+crash that is reported more than once counts once, and one that an answer has
+cleared remains cleared everywhere.
 """
 
 from collections.abc import Iterable
@@ -45,10 +46,25 @@
     Attributes:
       target: identifies the incarnation of the target, see `crash_id`.
       age_ms: time since the crash, in milliseconds.
+      cleared: whether the request was completed later, so that it is not the
+        cause.
     """
 
     target: int
     age_ms: int
+    cleared: bool = False
+
+
+class ObservedCrash(msgspec.Struct):
+    """A crash as this node keeps it.
+
+    Attributes:
+      crashed_ms: time of the crash.
+      cleared: whether the suspected request was completed later.
+    """
+
+    crashed_ms: float
+    cleared: bool
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
@@ -88,13 +104,13 @@
     """Crashes of requests, as far as this node knows them.
 
     Attributes:
-      crashes: time of each crash by `crash_id`, by fingerprint.
+      crashes: crashes by `crash_id`, by fingerprint.
     """
 
     __slots__ = ("crashes",)
 
     def __init__(self):
-        self.crashes: dict[str, dict[int, float]] = {}
+        self.crashes: dict[str, dict[int, ObservedCrash]] = {}
 
     def crash_count(self, now_ms: float, suspect: str) -> int:
         """Number of crashes that a request may have caused.
@@ -106,10 +122,10 @@
         crashes = self.crashes.get(suspect)
         if crashes is None:
             return 0
-        if now_ms - max(crashes.values()) > FORGOTTEN_AFTER_MS:
+        if now_ms - _latest_ms(crashes) > FORGOTTEN_AFTER_MS:
             del self.crashes[suspect]
             return 0
-        return len(crashes)
+        return _count(crashes)
 
     def on_crash(
         self,
@@ -147,7 +163,7 @@
         news = [
             crash
             for crash in suspicion.crashes
-            if crash.target not in known and crash.age_ms <= FORGOTTEN_AFTER_MS
+            if crash.age_ms <= FORGOTTEN_AFTER_MS and _is_news(known, crash)
         ]
         if not news:
             return None
@@ -155,20 +171,27 @@
             self._make_room()
             self.crashes[suspect] = known
         for crash in news:
-            known[crash.target] = now_ms - crash.age_ms
+            crashed_ms = now_ms - crash.age_ms
+            known[crash.target] = ObservedCrash(crashed_ms, crash.cleared)
         while len(known) > CRASHES_KEPT_MAX:
-            del known[min(known, key=known.__getitem__)]
+            del known[min(known, key=lambda each: known[each].crashed_ms)]
         news = [crash for crash in news if crash.target in known]
         return Suspicion(suspect, news) if news else None
 
-    def on_answer(self, suspect: str) -> int:
+    def on_answer(self, now_ms: float, suspect: str) -> Suspicion | None:
         """Clears a request that was completed, since it crashes no target.
 
         Returns:
-          The number of crashes that the request may have caused.
+          What was not known before; None if nothing was suspected.
         """
-        crashes = self.crashes.pop(suspect, None) if self.crashes else None
-        return len(crashes) if crashes else 0
+        if not self.crash_count(now_ms, suspect):
+            return None
+        crashes = [
+            Crash(target, round(now_ms - crash.crashed_ms), True)
+            for target, crash in self.crashes[suspect].items()
+            if not crash.cleared
+        ]
+        return self.merge(now_ms, Suspicion(suspect, crashes))
 
     def known(self, now_ms: float, limit: int) -> list[Suspicion]:
         """Returns up to `limit` suspicions, those with most crashes first."""
@@ -181,8 +204,10 @@
             Suspicion(
                 suspect,
                 [
-                    Crash(target, round(now_ms - crashed_ms))
-                    for target, crashed_ms in self.crashes[suspect].items()
+                    Crash(
+                        target, round(now_ms - crash.crashed_ms), crash.cleared
+                    )
+                    for target, crash in self.crashes[suspect].items()
                 ],
             )
             for suspect in suspects[:limit]
@@ -195,6 +220,20 @@
 
         def suspicion(suspect: str) -> tuple[int, float]:
             crashes = self.crashes[suspect]
-            return len(crashes), max(crashes.values())
+            return _count(crashes), _latest_ms(crashes)
 
         del self.crashes[min(self.crashes, key=suspicion)]
+
+
+def _latest_ms(crashes: dict[int, ObservedCrash]) -> float:
+    return max(crash.crashed_ms for crash in crashes.values())
+
+
+def _count(crashes: dict[int, ObservedCrash]) -> int:
+    return sum(not crash.cleared for crash in crashes.values())
+
+
+def _is_news(known: dict[int, ObservedCrash], crash: Crash) -> bool:
+    """Whether a crash is not known, or was not known to be cleared."""
+    observed = known.get(crash.target)
+    return observed is None or (crash.cleared and not observed.cleared)
--- a/src/auburnrock/engine/mesh/peer_messages.py
+++ b/src/auburnrock/engine/mesh/peer_messages.py
@@ -403,7 +403,7 @@
 
 
 class CrashReport(Message, tag=24):
-    """Crashes of targets that the sender has learned of, by suspected request.
+    """Crashes that the sender has learned of, or that were cleared, by request.
 
     Attributes:
       suspicions: suspected requests with these crashes.
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -124,8 +124,8 @@
         self.decision_futures: dict[int, asyncio.Future] = {}
         self.broken_connections: list[BrokenConnection] = []
         self.on_target_ended: Callable[[], None] = lambda: None
-        self.on_crash: Callable[[list[suspects_module.Suspicion]], None]
-        self.on_crash = lambda suspicions: None
+        self.on_suspicion: Callable[[list[suspects_module.Suspicion]], None]
+        self.on_suspicion = lambda suspicions: None
         self.checking_port = False
         self.loop = asyncio.get_running_loop()
 
@@ -436,15 +436,8 @@
             )
         now_ms = self.now_ms()
         work_ms = now_ms - sent_ms
-        cleared = self.suspects.on_answer(run.fingerprint)
-        if cleared:
-            self.log.write(
-                "suspect_cleared",
-                attempt=run.attempt,
-                mark=run.fingerprint,
-                crashes=cleared,
-                status=response.status,
-            )
+        if response.status < 500:
+            self._clear_suspect(now_ms, run)
         if response.status < 300 and run.objective_ms > 0:
             self.service_time_ratio.add(now_ms, work_ms, run.objective_ms)
         return peer_messages.Answered(
@@ -456,6 +449,21 @@
             work_ms,
         )
 
+    def _clear_suspect(
+        self, now_ms: float, run: peer_messages.RunRequest
+    ) -> None:
+        """Ends the suspicion of a request that the target has completed."""
+        cleared = self.suspects.on_answer(now_ms, run.fingerprint)
+        if cleared is None:
+            return
+        self.log.write(
+            "suspect_cleared",
+            attempt=run.attempt,
+            mark=run.fingerprint,
+            crashes=len(cleared.crashes),
+        )
+        self.on_suspicion([cleared])
+
     def dispatch_decisions(self, decided: list) -> None:
         """Delivers the queue's decisions to the waiting requests."""
         for decision in decided:
@@ -627,4 +635,4 @@
                 crashes=self.suspects.crash_count(now_ms, mark),
                 target=target.target,
             )
-        self.on_crash(news)
+        self.on_suspicion(news)
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -223,7 +223,7 @@
         self.peers.load_report = self.executor.load_report
         self.peers.suspicions = self.suspicions
         self.peers.on_crash_report = self.on_crash_report
-        self.executor.on_crash = self.broadcast_crashes
+        self.executor.on_suspicion = self.broadcast_crashes
         self.peers.term_for = self.ownership.renewal_term_for
         self.peers.witnesses = self.ownership.lease.all_witnesses
         self.peers.on_entries_changed = self.dispatcher.update_entries
@@ -453,7 +453,10 @@
     def broadcast_crashes(
         self, suspicions: list[suspects_module.Suspicion], source: str = ""
     ) -> None:
-        """Reports crashes to all neighbours except the one that sent them."""
+        """Reports crashes to all neighbours except the one that sent them.
+
+        An empty list is not sent.
+        """
         if suspicions:
             report = peer_messages.CrashReport(suspicions)
             self.peers.broadcast(report, source)
--- a/tests/cover/test_mesh_crash_counts.py
+++ b/tests/cover/test_mesh_crash_counts.py
@@ -107,3 +107,26 @@
     assert all(each.crash_count(9.0, SUSPECT) == 1 for each in nodes.values())
     assert hops <= 8
     assert sent <= 2 * membership.RINGS * len(records)
+
+
+def test_an_answer_clears_a_request_at_all_nodes_for_good():
+    nodes = [crash_suspects.CrashSuspects() for _ in range(3)]
+    for place, node in enumerate(nodes):
+        node.on_crash(0.0, mesh.incarnation(f"n{place}"), {SUSPECT})
+    exchange(10.0, *nodes)
+    assert nodes[0].on_answer(20.0, SUSPECT) is not None
+    assert nodes[0].crash_count(20.0, SUSPECT) == 0
+    # The others report what they know before they learn of the answer.
+    exchange(30.0, *reversed(nodes))
+    assert [each.crash_count(30.0, SUSPECT) for each in nodes] == [0] * 3
+    nodes[1].on_crash(40.0, mesh.incarnation("n9"), {SUSPECT})
+    exchange(50.0, *nodes)
+    assert [each.crash_count(50.0, SUSPECT) for each in nodes] == [1] * 3
+
+
+def test_an_answer_of_a_request_that_is_not_suspected_is_no_news():
+    node = crash_suspects.CrashSuspects()
+    assert node.on_answer(0.0, SUSPECT) is None
+    node.on_crash(0.0, mesh.incarnation("n1"), {SUSPECT})
+    assert node.on_answer(1.0, SUSPECT) is not None
+    assert node.on_answer(2.0, SUSPECT) is None
--- a/tests/cover/test_mesh_crash_suspects.py
+++ b/tests/cover/test_mesh_crash_suspects.py
@@ -5,6 +5,8 @@
 import pytest
 import pytest_asyncio
 
+from auburnrock.engine.mesh import crash_suspects
+from tests.common import mesh
 from tests.common import mesh_fleet
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
@@ -77,3 +79,42 @@
             == len(crashed)
         )
     )
+
+
+async def send_check(fleet, host):
+    """Sends an idempotent request that crashes no target."""
+    return (await fleet.send_request(host, "/check/one", deadline_ms=900))[0]
+
+
+def suspect(host):
+    """Makes all nodes suspect that request after two crashes; returns it."""
+    node = host.node
+    mark = crash_suspects.fingerprint(
+        b"GET", b"a.example", b"/check/one", "booker", b""
+    )
+    for place in range(2):
+        incarnation = mesh.incarnation(f"gone-{place}")
+        news = node.suspects.on_crash(node.now_ms(), incarnation, {mark})
+        node.broadcast_crashes(news)
+    return mark
+
+
+def counts(fleet, mark):
+    nodes = [host.node for host in fleet.hosts]
+    return [n.suspects.crash_count(n.now_ms(), mark) for n in nodes]
+
+
+async def test_only_an_answer_that_is_no_failure_clears_a_request(fleet):
+    host = fleet.hosts[1]
+    mark = suspect(host)
+    everywhere = len(fleet.hosts)
+    await fleet.wait_until(lambda: counts(fleet, mark) == [2] * everywhere)
+    for each in fleet.hosts:
+        each.target.behaviour.status = 500
+    assert await send_check(fleet, host) == 500
+    await asyncio.sleep(0.1)
+    assert counts(fleet, mark) == [2] * everywhere
+    for each in fleet.hosts:
+        each.target.behaviour.status = 200
+    assert await send_check(fleet, host) == 200
+    await fleet.wait_until(lambda: counts(fleet, mark) == [0] * everywhere)
