Refuse a request that goes on crashing targets for longer each time

What callers would see: a request that crashes targets and is sent again and again crashes three of them every minute.

Cause: all crashes were forgotten 60 s after the latest one, and the request began anew. Until now two nodes that reported a crash to each other never forgot it, which hid this, and refused harmless suspects for good.

What would be forgotten at once is not taken from a report.

Evidence: test_a_request_that_goes_on_crashing_targets_is_refused_for_longer, test_a_request_is_accepted_once_its_crashes_are_forgotten, test_crashes_that_would_be_forgotten_at_once_are_no_news.

--- a/src/auburnrock/engine/mesh/crash_suspects.py
+++ b/src/auburnrock/engine/mesh/crash_suspects.py
@@ -3,7 +3,7 @@
 A request is identified by its fingerprint, so that a retry by the caller counts
 as the same request. All requests that a target was running when it crashed are
 suspects; a complete answer clears a request. A request that reaches the limit
-of crashes is refused for a while.
+of crashes is refused, for longer after each further crash.
 
 Nodes send each other the crashes that they know, and each node counts them. The
 crashes of a request are a two-phase set (Shapiro et al., 2011) of incarnations
@@ -29,7 +29,15 @@
 `CRASHES_MAX`."""
 
 FORGOTTEN_AFTER_MS = 60_000.0
-"""Time after a request's latest crash at which its crashes are forgotten, in
+"""Time after a request's latest crash, and after the time for which it is
+refused, at which its crashes are forgotten, in milliseconds."""
+
+FIRST_REFUSAL_MS = 60_000.0
+"""Time after the latest of `CRASHES_MAX` crashes for which a request is
+refused, in milliseconds. Each further crash doubles it."""
+
+LONGEST_REFUSAL_MS = 600_000.0
+"""Longest time after a crash for which a request is refused, in
 milliseconds."""
 
 SUSPECTS_MAX = 1_024
@@ -55,7 +63,7 @@
     cleared: bool = False
 
 
-class ObservedCrash(msgspec.Struct):
+class ObservedCrash(msgspec.Struct, frozen=True):
     """A crash as this node keeps it.
 
     Attributes:
@@ -122,11 +130,24 @@
         crashes = self.crashes.get(suspect)
         if crashes is None:
             return 0
-        if now_ms - _latest_ms(crashes) > FORGOTTEN_AFTER_MS:
+        if _is_forgotten(now_ms, crashes):
             del self.crashes[suspect]
             return 0
         return _count(crashes)
 
+    def is_refused(self, now_ms: float, suspect: str) -> bool:
+        """Whether a request must not run, since it crashes targets.
+
+        Args:
+          now_ms: the time.
+          suspect: fingerprint of the request.
+        """
+        count = self.crash_count(now_ms, suspect)
+        if count < CRASHES_MAX:
+            return False
+        since_ms = _latest_ms(self.crashes[suspect])
+        return now_ms - since_ms <= _refusal_ms(count)
+
     def on_crash(
         self,
         now_ms: float,
@@ -159,24 +180,21 @@
         suspect = suspicion.fingerprint
         # Crashes are forgotten together.
         self.crash_count(now_ms, suspect)
-        known = self.crashes.get(suspect, {})
-        news = [
-            crash
-            for crash in suspicion.crashes
-            if crash.age_ms <= FORGOTTEN_AFTER_MS and _is_news(known, crash)
-        ]
-        if not news:
+        crashes = dict(self.crashes.get(suspect, {}))
+        news = [each for each in suspicion.crashes if _is_news(crashes, each)]
+        for crash in news:
+            crashes[crash.target] = ObservedCrash(
+                now_ms - crash.age_ms, crash.cleared
+            )
+        while len(crashes) > CRASHES_KEPT_MAX:
+            del crashes[min(crashes, key=lambda each: crashes[each].crashed_ms)]
+        news = [crash for crash in news if crash.target in crashes]
+        if not news or _is_forgotten(now_ms, crashes):
             return None
         if suspect not in self.crashes:
             self._make_room()
-            self.crashes[suspect] = known
-        for crash in news:
-            crashed_ms = now_ms - crash.age_ms
-            known[crash.target] = ObservedCrash(crashed_ms, crash.cleared)
-        while len(known) > CRASHES_KEPT_MAX:
-            del known[min(known, key=lambda each: known[each].crashed_ms)]
-        news = [crash for crash in news if crash.target in known]
-        return Suspicion(suspect, news) if news else None
+        self.crashes[suspect] = crashes
+        return Suspicion(suspect, news)
 
     def on_answer(self, now_ms: float, suspect: str) -> Suspicion | None:
         """Clears a request that was completed, since it crashes no target.
@@ -233,6 +251,19 @@
     return sum(not crash.cleared for crash in crashes.values())
 
 
+def _refusal_ms(count: int) -> float:
+    """Time after the latest crash for which a request is refused."""
+    if count < CRASHES_MAX:
+        return 0.0
+    doubled = FIRST_REFUSAL_MS * 2.0 ** (count - CRASHES_MAX)
+    return min(LONGEST_REFUSAL_MS, doubled)
+
+
+def _is_forgotten(now_ms: float, crashes: dict[int, ObservedCrash]) -> bool:
+    kept_ms = FORGOTTEN_AFTER_MS + _refusal_ms(_count(crashes))
+    return now_ms - _latest_ms(crashes) > kept_ms
+
+
 def _is_news(known: dict[int, ObservedCrash], crash: Crash) -> bool:
     """Whether a crash is not known, or was not known to be cleared."""
     observed = known.get(crash.target)
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -509,8 +509,7 @@
                 return self._refused(run, errors.ErrorKind.DRAINING, 50.0)
         if run.key != model.NO_KEY and not self._has_key(now_ms, run.key):
             return self._refused(run, errors.ErrorKind.MOVING, 100.0)
-        crashes = self.suspects.crash_count(now_ms, run.fingerprint)
-        if crashes >= suspects_module.CRASHES_MAX:
+        if self.suspects.is_refused(now_ms, run.fingerprint):
             return self._refused(run, errors.ErrorKind.QUARANTINED, 0.0)
         return None
 
--- a/tests/cover/test_mesh_crash_counts.py
+++ b/tests/cover/test_mesh_crash_counts.py
@@ -130,3 +130,47 @@
     node.on_crash(0.0, mesh.incarnation("n1"), {SUSPECT})
     assert node.on_answer(1.0, SUSPECT) is not None
     assert node.on_answer(2.0, SUSPECT) is None
+
+
+def crash_targets(node, now_ms, count):
+    """Lets a node observe crashes of targets that were running the suspect."""
+    for _ in range(count):
+        place = len(node.crashes.get(SUSPECT, {}))
+        incarnation = mesh.incarnation(f"n{place}", started_ms=int(now_ms))
+        node.on_crash(now_ms, incarnation, {SUSPECT})
+
+
+def test_a_request_that_goes_on_crashing_targets_is_refused_for_longer():
+    node = crash_suspects.CrashSuspects()
+    crash_targets(node, 0.0, crash_suspects.CRASHES_MAX)
+    now_ms = 0.0
+    refused_ms = []
+    for _ in range(6):
+        began_ms = now_ms
+        while node.is_refused(now_ms, SUSPECT):
+            now_ms += 1_000.0
+        refused_ms.append(now_ms - began_ms)
+        crash_targets(node, now_ms, 1)
+    assert refused_ms == sorted(refused_ms)
+    assert refused_ms[0] < refused_ms[1]
+    longest_ms = crash_suspects.LONGEST_REFUSAL_MS
+    assert longest_ms <= refused_ms[-1] <= longest_ms + 1_000.0
+
+
+def test_a_request_is_accepted_once_its_crashes_are_forgotten():
+    node = crash_suspects.CrashSuspects()
+    crash_targets(node, 0.0, crash_suspects.CRASHES_MAX)
+    end_ms = crash_suspects.FIRST_REFUSAL_MS + 1.0
+    assert not node.is_refused(end_ms, SUSPECT)
+    end_ms += crash_suspects.FORGOTTEN_AFTER_MS
+    assert node.crash_count(end_ms, SUSPECT) == 0
+    assert not node.is_refused(end_ms, SUSPECT)
+
+
+def test_crashes_that_would_be_forgotten_at_once_are_no_news():
+    node = crash_suspects.CrashSuspects()
+    age_ms = round(crash_suspects.FORGOTTEN_AFTER_MS) + 1
+    crash = crash_suspects.Crash(1, age_ms)
+    stale = crash_suspects.Suspicion(SUSPECT, [crash])
+    assert node.merge(0.0, stale) is None
+    assert node.crashes == {}
