Attribute a crash also if the target is back before its port is checked

What callers would see: a request crashes a target, and no node counts it.

The list of broken connections was then cleared, so a new incarnation that announced itself told nothing.

The reverse was wrong too: a target that ends after its drain interrupts what still runs, and those requests were suspected.

Change: broken connections name the incarnation and are kept for the window in which they count; the first heartbeat of a new incarnation attributes them; the incarnation is compared, not the heartbeat; after the drain period a broken connection is no sign of a crash.

Evidence: test_a_target_that_starts_again_at_once_has_crashed, test_a_heartbeat_that_arrives_late_does_not_hide_a_crash and test_a_target_that_leaves_after_its_drain_has_not_crashed fail on the commit before and pass.

--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -137,6 +137,9 @@
             (known.target, known.started_ms) != (beat.target, beat.started_ms)
         )
         if is_new:
+            if known is not None:
+                # It ended without notice, and its port is open again.
+                self._record_crash(known)
             self.client.close()
             self.drain_since_ms = None
             self.service_time_ratio = ratio_module.ServiceTimeRatio(now_ms)
@@ -358,7 +361,7 @@
         try:
             connection = await self.client.acquire(idle_ms)
         except http_client.ConnectError as error:
-            if error.no_listener and self.target is target:
+            if error.no_listener and self._is_current(target):
                 self._record_crash(target)
                 self.mark_target_ended("connection_refused")
             return self._refused(
@@ -513,6 +516,13 @@
             return self._refused(run, errors.ErrorKind.QUARANTINED, 0.0)
         return None
 
+    def _is_drained(self) -> bool:
+        """Whether the target has been draining for the whole drain period."""
+        if self.drain_since_ms is None:
+            return False
+        drained_ms = self.now_ms() - self.drain_since_ms
+        return drained_ms >= self.settings.bounds.drain_ms
+
     def _has_key(self, now_ms: float, key: int) -> bool:
         """Whether the target may serve a key now."""
         table = self.holder.table
@@ -587,10 +597,20 @@
     def _record_broken_connection(
         self, target: model.Heartbeat, fingerprint: str
     ) -> None:
-        """Records a broken connection, and schedules a check of the port."""
-        self.broken_connections.append(
-            BrokenConnection(self.now_ms(), target, fingerprint)
-        )
+        """Records a broken connection, and schedules a check of the port.
+
+        A target that ends after its drain interrupts requests without a crash.
+        """
+        now_ms = self.now_ms()
+        self.broken_connections = [
+            broken
+            for broken in self.broken_connections
+            if now_ms - broken.broken_ms < CRASH_WINDOW_MS
+        ]
+        if not (self._is_current(target) and self._is_drained()):
+            self.broken_connections.append(
+                BrokenConnection(now_ms, target, fingerprint)
+            )
         if not self.checking_port:
             self.checking_port = True
             self.loop.call_later(CRASH_CHECK_MS / 1_000, self._check_port)
@@ -600,17 +620,17 @@
 
     async def _check_crash(self) -> None:
         """Distinguishes a crash of the target from a lost connection."""
-        target = self.target
+        known = self.target
         try:
             self.client.release(await self.client.open())
         except http_client.ConnectError as error:
-            if error.no_listener and self.target is target:
+            if error.no_listener:
                 for broken in list(self.broken_connections):
                     self._record_crash(broken.target)
-                self.mark_target_ended("crash")
+                if known is not None and self._is_current(known):
+                    self.mark_target_ended("crash")
         finally:
             self.checking_port = False
-            self.broken_connections.clear()
 
     def _record_crash(self, target: model.Heartbeat) -> None:
         """Suspects the requests that a target was running when it crashed."""
--- a/tests/cover/test_mesh_crash_suspects.py
+++ b/tests/cover/test_mesh_crash_suspects.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 import pytest_asyncio
 
@@ -118,3 +119,76 @@
         each.target.behaviour.status = 200
     assert await send_check(fleet, host) == 200
     await fleet.wait_until(lambda: counts(fleet, mark) == [0] * everywhere)
+
+
+async def crash_one(fleet):
+    """Crashes one target; returns its host as soon as it is down."""
+    sending = asyncio.create_task(
+        fleet.send_request(fleet.hosts[1], CRASHING, method="POST", data=b"d")
+    )
+    down = []
+    while not down:
+        await asyncio.sleep(0)
+        down = [host for host in fleet.hosts if is_down(host)]
+    return down[0], sending
+
+
+def known_counts(fleet):
+    return {
+        n.suspects.crash_count(n.now_ms(), mark)
+        for n in (host.node for host in fleet.hosts)
+        for mark in list(n.suspects.crashes)
+    }
+
+
+async def test_a_target_that_starts_again_at_once_has_crashed(fleet):
+    host, sending = await crash_one(fleet)
+    await host.start_target()
+    await sending
+    await fleet.wait_until(lambda: known_counts(fleet) == {1})
+    assert all(host.node.suspects.crashes for host in fleet.hosts)
+
+
+async def test_a_heartbeat_that_arrives_late_does_not_hide_a_crash(fleet):
+    for host in fleet.hosts:
+        deliver_heartbeat_at_check(host.node.executor)
+    host, sending = await crash_one(fleet)
+    await sending
+    await fleet.wait_until(lambda: known_counts(fleet) == {1})
+    assert host.node.executor.target is None
+
+
+def deliver_heartbeat_at_check(executor):
+    """Delivers a heartbeat whenever the port of the target is checked."""
+    open_connection = executor.client.open
+
+    async def open_late():
+        beat = executor.target
+        if executor.checking_port and beat is not None:
+            executor.apply_heartbeat(
+                msgspec.structs.replace(beat, sequence=beat.sequence + 1)
+            )
+        return await open_connection()
+
+    executor.client.open = open_late
+
+
+async def test_a_target_that_leaves_after_its_drain_has_not_crashed(fleet):
+    host = fleet.hosts[1]
+    executor = host.node.executor
+    for each in fleet.hosts[1:]:
+        each.target.behaviour.crash_path = ""
+        each.target.behaviour.work_s = 0.5
+    sending = [
+        asyncio.create_task(
+            fleet.send_request(host, "/book/one", method="POST", data=b"d")
+        )
+        for _ in range(2 * BOOKERS)
+    ]
+    await fleet.wait_until(lambda: executor.queue.running)
+    executor.begin_drain("heartbeat")
+    executor.drain_since_ms -= host.node.settings.bounds.drain_ms
+    await host.target.crash()
+    await asyncio.gather(*sending)
+    await fleet.wait_until(lambda: executor.target is None)
+    assert known_counts(fleet) == set()
