Refuse a crashing request at the node where it arrives, with the time

What callers saw: a request that crashes targets was sent on to another node to be refused there, without a time to come back.

Cause: only the node beside the target checked. Retry-After is the time for which the request is refused, instead of none.

Evidence: test_a_request_that_crashes_targets_is_refused_where_it_arrives.

--- a/src/auburnrock/engine/mesh/crash_suspects.py
+++ b/src/auburnrock/engine/mesh/crash_suspects.py
@@ -135,18 +135,21 @@
             return 0
         return _count(crashes)
 
-    def is_refused(self, now_ms: float, suspect: str) -> bool:
-        """Whether a request must not run, since it crashes targets.
+    def refused_for_ms(self, now_ms: float, suspect: str) -> float:
+        """How long a request must not run, since it crashes targets.
 
         Args:
           now_ms: the time.
           suspect: fingerprint of the request.
+
+        Returns:
+          The time in milliseconds; 0 if the request may run.
         """
         count = self.crash_count(now_ms, suspect)
         if count < CRASHES_MAX:
-            return False
-        since_ms = _latest_ms(self.crashes[suspect])
-        return now_ms - since_ms <= _refusal_ms(count)
+            return 0.0
+        until_ms = _latest_ms(self.crashes[suspect]) + _refusal_ms(count)
+        return max(0.0, until_ms - now_ms)
 
     def on_crash(
         self,
--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -315,6 +315,14 @@
                 return self._final_outcome(
                     attempt, errors.ErrorKind.DEADLINE_EXCEEDED
                 )
+            refused_ms = self.suspects.refused_for_ms(
+                now_ms, attempt.fingerprint
+            )
+            if refused_ms > 0.0:
+                attempt.retry_after_ms = refused_ms
+                return self._final_outcome(
+                    attempt, errors.ErrorKind.QUARANTINED
+                )
             candidate = self._next_target(attempt)
             if candidate is None:
                 kind = errors.ErrorKind.NO_OWNER
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -512,8 +512,9 @@
                 return self._refused(run, errors.ErrorKind.DRAINING, 50.0)
         if run.key != model.NO_KEY and not self._has_key(now_ms, run.key):
             return self._refused(run, errors.ErrorKind.MOVING, 100.0)
-        if self.suspects.is_refused(now_ms, run.fingerprint):
-            return self._refused(run, errors.ErrorKind.QUARANTINED, 0.0)
+        refused_ms = self.suspects.refused_for_ms(now_ms, run.fingerprint)
+        if refused_ms > 0.0:
+            return self._refused(run, errors.ErrorKind.QUARANTINED, refused_ms)
         return None
 
     def _is_drained(self) -> bool:
--- a/tests/cover/test_mesh_crash_counts.py
+++ b/tests/cover/test_mesh_crash_counts.py
@@ -147,7 +147,7 @@
     refused_ms = []
     for _ in range(6):
         began_ms = now_ms
-        while node.is_refused(now_ms, SUSPECT):
+        while node.refused_for_ms(now_ms, SUSPECT) > 0.0:
             now_ms += 1_000.0
         refused_ms.append(now_ms - began_ms)
         crash_targets(node, now_ms, 1)
@@ -161,10 +161,10 @@
     node = crash_suspects.CrashSuspects()
     crash_targets(node, 0.0, crash_suspects.CRASHES_MAX)
     end_ms = crash_suspects.FIRST_REFUSAL_MS + 1.0
-    assert not node.is_refused(end_ms, SUSPECT)
+    assert node.refused_for_ms(end_ms, SUSPECT) == 0.0
     end_ms += crash_suspects.FORGOTTEN_AFTER_MS
     assert node.crash_count(end_ms, SUSPECT) == 0
-    assert not node.is_refused(end_ms, SUSPECT)
+    assert node.refused_for_ms(end_ms, SUSPECT) == 0.0
 
 
 def test_crashes_that_would_be_forgotten_at_once_are_no_news():
--- a/tests/cover/test_mesh_crash_suspects.py
+++ b/tests/cover/test_mesh_crash_suspects.py
@@ -192,3 +192,18 @@
     await asyncio.gather(*sending)
     await fleet.wait_until(lambda: executor.target is None)
     assert known_counts(fleet) == set()
+
+
+async def test_a_request_that_crashes_targets_is_refused_where_it_arrives(
+    fleet,
+):
+    host = fleet.hosts[1]
+    mark = suspect(host)
+    third = mesh.incarnation("gone-2")
+    host.node.suspects.on_crash(host.node.now_ms(), third, {mark})
+    tried = []
+    host.node.dispatcher.execute = lambda name, run: tried.append(name)
+    status, _, headers = await fleet.send_request(host, "/check/one")
+    assert status == 503
+    assert 55.0 < float(headers["retry-after"]) <= 60.0
+    assert tried == []
