Let a restarted node use its part of the retry budget a window later

What callers would see: services get more retries than the deployment allows (BUDGET) when nodes restart while many answers are lost.

Each node limits itself to a part of one budget and counts what it has used in memory; a new process begins at zero while the retries of the former one are still in the budget's window.

Change: except at the first start of the whole system, a process uses its part of the extra retries only once a whole window has passed since its start; the part for its own requests counts from the start.

--- a/src/auburnrock/engine/mesh/retry_budget.py
+++ b/src/auburnrock/engine/mesh/retry_budget.py
@@ -3,7 +3,8 @@
 Targets may fail, crash or lose answers. Retries add load just when targets can
 handle it least, so they are limited by a budget. The deployment configures one
 budget for all nodes together. Each node uses its own part of it, which it
-computes from the requests that it received itself and the number of nodes.
+computes from the requests that it received itself and the number of nodes. A
+process does not know what the former process of its node has used.
 """
 
 import collections
@@ -53,17 +54,25 @@
       ratio: retries that are allowed for each request.
       extra: further retries that are allowed in each window, of all nodes
         together.
+      extra_from_ms: when this process may begin to use its part of `extra`.
       requests: requests to this node in half a window. With the shorter window,
         no retries are allowed for requests that may have left the budget's
         window.
       retries: retries by this node in a window.
     """
 
-    __slots__ = ("extra", "ratio", "requests", "retries")
+    __slots__ = ("extra", "extra_from_ms", "ratio", "requests", "retries")
 
-    def __init__(self, ratio: float, extra: float, window_ms: float):
+    def __init__(
+        self,
+        ratio: float,
+        extra: float,
+        window_ms: float,
+        extra_from_ms: float = 0.0,
+    ):
         self.ratio = ratio
         self.extra = extra
+        self.extra_from_ms = extra_from_ms
         self.requests = Window(window_ms / 2)
         self.retries = Window(window_ms)
 
@@ -79,7 +88,8 @@
           nodes: number of nodes that share the budget.
         """
         allowed = self.ratio * self.requests.count(now_ms)
-        allowed += self.extra / max(1, nodes)
+        if now_ms >= self.extra_from_ms:
+            allowed += self.extra / max(1, nodes)
         return self.retries.count(now_ms) + 1 <= USED_SHARE * allowed
 
     def record_retry(self, now_ms: float) -> None:
--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -172,6 +172,7 @@
         self.retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         self.round_robin = routing.WeightedRoundRobin()
         self.usual_waits_ms: dict[str, float] = {}
+        self.started_ms = now_ms()
         self.numbers = 0
         self.in_flight: dict[int, Attempt] = {}
         self.rng = random.Random()
@@ -302,6 +303,9 @@
             budget = retry_budget.RetryBudget(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_ms
             )
+            if not self.settings.is_bootstrap:
+                # The former process may have used the node's part just before.
+                budget.extra_from_ms = self.started_ms + bounds.retry_window_ms
             self.retry_budgets[service] = budget
         return budget
 
