--- a/src/auburnrock_standins/mesh_target.py
+++ b/src/auburnrock_standins/mesh_target.py
@@ -52,6 +52,8 @@
       status: HTTP status of the responses.
       crash_path: prefix of the paths of requests that crash the target; empty
         for none.
+      limit: value of the limit that responses name; empty for none.
+      leaving: whether responses say that the target leaves.
     """
 
     work_s: float = 0.0
@@ -61,6 +63,8 @@
     cut: bool = False
     status: int = 200
     crash_path: str = ""
+    limit: str = ""
+    leaving: bool = False
 
 
 class MeshTarget:
@@ -279,7 +283,12 @@
             f"HTTP/1.1 {behaviour.status} S\r\n"
             f"Auburnrock-Attempt-Id: {attempt}\r\n"
             f"Auburnrock-Response-Seal: {self.name}.{attempt}\r\n"
-        ).encode()
+        )
+        if behaviour.limit:
+            head += f"Server-Limit: {behaviour.limit}\r\n"
+        if behaviour.leaving:
+            head += "Server-Leaving: 1\r\n"
+        head = head.encode()
         if behaviour.unframed:
             writer.write(head + b"Connection: close\r\n\r\n" + body)
             return False
