Heed the limit and the leaving that a target names in its responses

Ruled out: a limit that is read and lost.

Change: the node beside a target, which all its requests pass, keeps a token bucket for it and enforces the limit alone, so that no node has to divide it. Requests wait for their turn within their objective, or are rejected at once with the time until their turn; the expected wait in load reports leads requests that any target may run elsewhere, and a lower capacity weight moves keys away until the limit ends. Any response of the target itself sets a limit, only a complete answer without it ends one. Server-Leaving begins the drain like a heartbeat. Both survive a restart of the node, through its entry that the neighbours keep.

--- a/src/auburnrock/ctl/explain.py
+++ b/src/auburnrock/ctl/explain.py
@@ -52,6 +52,7 @@
         "taken_over",
         "target_draining",
         "target_ended",
+        "target_limited",
         "target_resumed",
         "target_started",
     }
--- a/src/auburnrock/engine/mesh/admission_queue.py
+++ b/src/auburnrock/engine/mesh/admission_queue.py
@@ -9,12 +9,17 @@
 A target may also become many times slower at once. The measured work times
 show this only when requests end, which is too late, so the age of the running
 requests is used to detect it.
+
+A target in need names a limit of requests. Then requests also wait for their
+turn within the limit, and are rejected if that would take too long.
 """
 
 import heapq
 
 import msgspec
 
+from auburnrock.engine.mesh import rate_limit
+
 REMAINING_WORK_SHARE = 0.5
 """Share of its expected work that a running request still has to do, on
 average."""
@@ -182,6 +187,7 @@
         be answered in time.
       queued: queued requests of both heaps, by number, without cancelled ones.
       work_times: measured work times by kind of request.
+      rate_limit: limit of the requests that the target takes.
       rejection_count: number of rejections, which spreads the retry-after
         times.
     """
@@ -190,6 +196,7 @@
         "late_heap",
         "queue_heap",
         "queued",
+        "rate_limit",
         "rejection_count",
         "running",
         "slots",
@@ -203,6 +210,7 @@
         self.late_heap: list[tuple[tuple, int, QueuedRequest]] = []
         self.queued: dict[int, QueuedRequest] = {}
         self.work_times = WorkTimes()
+        self.rate_limit = rate_limit.RateLimit(0.0)
         self.rejection_count = 0
 
     def offer(
@@ -213,6 +221,7 @@
             request.kind, request.objective_ms
         )
         request.order = _order(request)
+        self.rate_limit.arrivals.add(now_ms)
         if self._may_start(now_ms, request):
             return self._start(now_ms, request)
         wait_ms = self.expected_wait_ms(now_ms, request)
@@ -266,14 +275,17 @@
           request: the request; None for one at the end of the queue.
         """
         if len(self.running) < self.slots and not self.queued:
-            return 0.0
+            return self.rate_limit.wait_ms(now_ms)
         ahead_ms = REMAINING_WORK_SHARE * sum(
             other.expected_ms for other in self.running.values()
         )
+        ahead = 0
         for other in self.queued.values():
             if request is None or other.order <= request.order:
                 ahead_ms += other.expected_ms
-        return ahead_ms * self.slowness(now_ms) / max(1, self.slots)
+                ahead += 1
+        slot_ms = ahead_ms * self.slowness(now_ms) / max(1, self.slots)
+        return max(slot_ms, self.rate_limit.wait_ms(now_ms, ahead))
 
     def on_request_ended(
         self, now_ms: float, number: int, completed: bool
@@ -295,13 +307,16 @@
         return self.start_queued(now_ms)
 
     def start_queued(self, now_ms: float) -> list[Admitted | Rejected]:
-        """Starts queued requests while slots are free.
+        """Starts queued requests while slots are free and the limit allows it.
 
         Queued requests that can't end before their deadline are rejected
         instead.
         """
         decisions: list[Admitted | Rejected] = []
-        while len(self.running) < self.slots:
+        while (
+            len(self.running) < self.slots
+            and self.rate_limit.wait_ms(now_ms) <= 0.0
+        ):
             request = self._pop_next(now_ms)
             if request is None:
                 break
@@ -344,6 +359,8 @@
         Requests that are queued while a slot is free are late ones, and don't
         hold back a request in time.
         """
+        if self.rate_limit.wait_ms(now_ms) > 0.0:
+            return False
         free = self.slots - len(self.running)
         if self._is_late(now_ms, request):
             return free > self._reserved_slots() and not self.queued
@@ -377,6 +394,7 @@
 
     def _start(self, now_ms: float, request: QueuedRequest) -> Admitted:
         request.started_ms = now_ms
+        self.rate_limit.take(now_ms)
         self.running[request.number] = request
         return Admitted(request)
 
--- a/src/auburnrock/engine/mesh/membership.py
+++ b/src/auburnrock/engine/mesh/membership.py
@@ -58,6 +58,9 @@
       cold: whether the target has just started and is slow.
       leaving: whether the node is about to stop.
       reads_store: whether the store answers the node.
+      limit_per_s: requests per second that the target takes, without small
+        changes; 0 for no limit.
+      limited_share: part of its usual weight that the target has by the limit.
     """
 
     name: str
@@ -71,6 +74,8 @@
     cold: bool = False
     leaving: bool = False
     reads_store: bool = False
+    limit_per_s: float = 0.0
+    limited_share: float = 1.0
 
     def version_key(self) -> tuple[int, bool]:
         """Returns the key that orders entries of one node; higher is later."""
@@ -78,7 +83,9 @@
 
     def capacity_weight(self) -> float:
         """Returns the target's weight in sharing the keys of its service."""
-        return ratio_module.capacity_weight(self.slots, self.service_time_ratio)
+        return self.limited_share * ratio_module.capacity_weight(
+            self.slots, self.service_time_ratio
+        )
 
     def may_own(self) -> bool:
         """Whether keys may be assigned to the target."""
--- a/src/auburnrock/engine/mesh/model.py
+++ b/src/auburnrock/engine/mesh/model.py
@@ -322,3 +322,17 @@
     NOT_RUN = enum.auto()
     OTHER_TARGET = enum.auto()
     UNUSABLE = enum.auto()
+
+
+class TargetNotice(msgspec.Struct, frozen=True):
+    """What a target says of itself in a response to a request.
+
+    Attributes:
+      limit_per_s: requests per second that it takes; None for no limit.
+      leaving: whether it leaves.
+      unreadable: value of a limit that cannot be parsed; empty for none.
+    """
+
+    limit_per_s: float | None = None
+    leaving: bool = False
+    unreadable: str = ""
--- a/src/auburnrock/platform/names.py
+++ b/src/auburnrock/platform/names.py
@@ -17,6 +17,10 @@
 SIGNATURE = b"auburnrock-response-seal"
 # Present if the target did not execute the request.
 NOT_EXECUTED = b"auburnrock-not-executed"
+# Requests per second that the target takes from all hosts together.
+LIMIT = b"server-limit"
+# Present with the value 1 if the target leaves.
+LEAVING = b"server-leaving"
 # Number of restores of the store; present in all its responses.
 ERA = b"store-era"
 
--- a/src/auburnrock/platform/protocol.py
+++ b/src/auburnrock/platform/protocol.py
@@ -47,6 +47,10 @@
         """Classifies a target's response."""
         return requests.classify_response(answer, attempt)
 
+    def decode_notice(self, answer: http_client.Response) -> model.TargetNotice:
+        """Decodes what a target says of itself in a response."""
+        return requests.decode_notice(answer)
+
     def forwarded_headers(
         self, headers: http_client.Headers
     ) -> http_client.Headers:
--- a/src/auburnrock/platform/requests.py
+++ b/src/auburnrock/platform/requests.py
@@ -1,5 +1,7 @@
 """Requests of callers and responses of targets."""
 
+import re
+
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peer_messages
 from auburnrock.platform import names
@@ -8,6 +10,7 @@
 
 _REPLACED_HEADERS = frozenset({names.DEADLINE, names.TARGET, names.CALLER})
 _CALLER_TIMEOUT_MAX_MS = 600_000.0
+_LIMIT = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 def decode_request_head(
@@ -88,6 +91,18 @@
     return model.TargetVerdict.ANSWER
 
 
+def decode_notice(answer: http_client.Response) -> model.TargetNotice:
+    """Decodes what a target says of itself in a response."""
+    leaving = answer.header(names.LEAVING) == b"1"
+    value = answer.header(names.LIMIT)
+    if value is None:
+        return model.TargetNotice(None, leaving)
+    if _LIMIT.fullmatch(value) is None:
+        text = value[:32].decode("latin-1")
+        return model.TargetNotice(None, leaving, text)
+    return model.TargetNotice(float(value), leaving)
+
+
 def forwarded_headers(headers: http_client.Headers) -> http_client.Headers:
     """Returns the end-to-end headers of a target's response."""
     return [
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -52,6 +52,11 @@
 LONG_WAIT_MS = 50.0
 """Waits in the queue longer than this are logged."""
 
+_OWN_RESPONSES = frozenset(
+    {model.TargetVerdict.ANSWER, model.TargetVerdict.NOT_RUN}
+)
+"""Verdicts on responses that certainly come from the target itself."""
+
 
 class BrokenConnection:
     """A connection that broke before the response to a request.
@@ -85,6 +90,8 @@
       drain_since_ms: when the target's drain began; None if it does not drain.
       service_time_ratio: estimate of the target's speed.
       keyed: whether the target's service is divided by key.
+      leaving: incarnation of the target of which the former process of this
+        node knew that it leaves; None if it knew of none.
       closing: whether this process ends once the running requests have ended.
       resumed: incarnation of the target that the former process of this node
         knew, until the first heartbeat is received here; None after.
@@ -120,10 +127,11 @@
         self.keyed = False
         self.closing = False
         self.resumed: model.Incarnation | None = None
+        self.leaving: model.Incarnation | None = None
         self.last_number = 0
         self.decision_futures: dict[int, asyncio.Future] = {}
         self.broken_connections: list[BrokenConnection] = []
-        self.on_target_ended: Callable[[], None] = lambda: None
+        self.on_grants_end: Callable[[], None] = lambda: None
         self.on_suspicion: Callable[[list[suspects_module.Suspicion]], None]
         self.on_suspicion = lambda suspicions: None
         self.checking_port = False
@@ -142,6 +150,7 @@
                 self._record_crash(known)
             self.client.close()
             self.drain_since_ms = None
+            self.queue.rate_limit.set(now_ms, None)
             self.service_time_ratio = ratio_module.ServiceTimeRatio(now_ms)
             self.log.write(
                 "target_started",
@@ -157,10 +166,17 @@
         self.cold_until_ms = now_ms + beat.cold_ms
         if beat.state is model.TargetState.DRAINING:
             self.begin_drain("heartbeat")
+        if is_new:
+            self._resume_drain()
         self.dispatch_decisions(self.queue.start_queued(now_ms))
 
     def resume_target(
-        self, incarnation: model.Incarnation, slots: int, ratio: float
+        self,
+        incarnation: model.Incarnation,
+        slots: int,
+        ratio: float,
+        limit_per_s: float,
+        limited_share: float,
     ) -> None:
         """Resumes the target that the former process of this node knew.
 
@@ -168,8 +184,10 @@
         may take seconds. Each request names the target, so that another target
         at its address runs none; keys are checked by the target alone.
         """
+        limit = self.queue.rate_limit
         if self.holder.incarnation == incarnation:
             self.service_time_ratio.restore(ratio)
+            limit.restore(self.now_ms(), limit_per_s, limited_share)
         is_known = (
             self.holder.incarnation is not None
             or self.holder.last_ended is not None
@@ -178,6 +196,7 @@
             return
         self.resumed = incarnation
         self.service_time_ratio.restore(ratio)
+        limit.restore(self.now_ms(), limit_per_s, limited_share)
         self.target = model.Heartbeat(
             target=incarnation.target,
             started_ms=incarnation.started_ms,
@@ -195,11 +214,30 @@
         self.queue.slots = slots
         self.log.write("target_resumed", target=incarnation.target, slots=slots)
 
+    def resume_drain(self, incarnation: model.Incarnation) -> None:
+        """Resumes the drain of a target that the former process knew to leave.
+
+        Its drain period counts as over, since its beginning is not known.
+        """
+        self.leaving = incarnation
+        self._resume_drain()
+
+    def _resume_drain(self) -> None:
+        if self.target is None or self.drain_since_ms is not None:
+            return
+        if self._incarnation(self.target) == self.leaving:
+            self.begin_drain("resumed")
+            self.drain_since_ms -= self.settings.bounds.drain_ms
+
+    def _incarnation(self, beat: model.Heartbeat) -> model.Incarnation:
+        return model.Incarnation(self.settings.ip, beat.target, beat.started_ms)
+
     def begin_drain(self, cause: str) -> None:
         """Begins the drain; the target receives no new requests after it."""
         if self.drain_since_ms is None and self.target is not None:
             self.drain_since_ms = self.now_ms()
             self.holder.on_leaving()
+            self.on_grants_end()
             self.log.write(
                 "target_draining", target=self.target.target, cause=cause
             )
@@ -221,7 +259,7 @@
         for number in list(self.queue.queued):
             self.queue.on_request_ended(self.now_ms(), number, False)
             self._deliver_decision(number, None)
-        self.on_target_ended()
+        self.on_grants_end()
 
     def load_report(self) -> target_selection.LoadReport:
         """Returns the target's load for peers."""
@@ -237,7 +275,8 @@
             self.service_time_ratio.mean * self.queue.slowness(now_ms),
             self.drain_since_ms is not None,
             round(max(0.0, self.cold_until_ms - now_ms)),
-            self.service_time_ratio.capacity_weight(self.queue.slots),
+            self.service_time_ratio.capacity_weight(self.queue.slots)
+            * self.queue.rate_limit.share,
             round(100 * self.stripe_load.utilisation(now_ms, self.queue.slots)),
         )
 
@@ -398,7 +437,7 @@
             connection.abort()
             raise
         self.client.release(connection)
-        return self._outcome_of(run, response, now_ms)
+        return self._outcome_of(run, target, response, now_ms)
 
     def _is_current(self, target: model.Heartbeat) -> bool:
         """Whether this incarnation of the target is still the current one."""
@@ -410,10 +449,14 @@
     def _outcome_of(
         self,
         run: peer_messages.RunRequest,
+        target: model.Heartbeat,
         response: http_client.Response,
         sent_ms: float,
     ) -> peer_messages.RunOutcome:
         verdict = self.protocol.classify_response(response, run.attempt)
+        if verdict in _OWN_RESPONSES:
+            ends_limit = verdict is model.TargetVerdict.ANSWER
+            self._apply_notice(run, target, response, ends_limit)
         if verdict is model.TargetVerdict.NOT_RUN:
             return self._refused(
                 run,
@@ -452,6 +495,47 @@
             work_ms,
         )
 
+    def _apply_notice(
+        self,
+        run: peer_messages.RunRequest,
+        target: model.Heartbeat,
+        response: http_client.Response,
+        ends_limit: bool,
+    ) -> None:
+        """Applies what the target says of itself in a response.
+
+        Args:
+          run: the request.
+          target: the target's heartbeat when the request was sent.
+          response: the response.
+          ends_limit: whether a response that names no limit ends one.
+        """
+        if not self._is_current(target):
+            return
+        notice = self.protocol.decode_notice(response)
+        if notice.leaving:
+            self.begin_drain("response")
+        if notice.unreadable:
+            self.log.write(
+                "limit_unreadable",
+                attempt=run.attempt,
+                target=target.target,
+                value=notice.unreadable,
+            )
+            return
+        if notice.limit_per_s is None and not ends_limit:
+            return
+        limit = self.queue.rate_limit
+        if limit.set(self.now_ms(), notice.limit_per_s):
+            self.log.write(
+                "target_limited",
+                attempt=run.attempt,
+                target=target.target,
+                limit_per_s="" if limit.per_s is None else limit.per_s,
+                arrivals_per_s=round(limit.arrivals.at(self.now_ms()), 1),
+                share=round(limit.share, 3),
+            )
+
     def _clear_suspect(
         self, now_ms: float, run: peer_messages.RunRequest
     ) -> None:
@@ -475,10 +559,14 @@
     def expire_overdue(self) -> None:
         """Refuses requests queued past their deadline.
 
-        It is called every EXPIRY_INTERVAL_S.
+        It also starts those that the target's limit allows by now. It is called
+        every EXPIRY_INTERVAL_S.
         """
         if self.queue.queued:
-            self.dispatch_decisions(self.queue.shed_overdue(self.now_ms()))
+            now_ms = self.now_ms()
+            self.dispatch_decisions(self.queue.shed_overdue(now_ms))
+            if self.queue.rate_limit.per_s is not None:
+                self.dispatch_decisions(self.queue.start_queued(now_ms))
 
     def _deliver_decision(
         self,
@@ -636,9 +724,7 @@
     def _record_crash(self, target: model.Heartbeat) -> None:
         """Suspects the requests that a target was running when it crashed."""
         now_ms = self.now_ms()
-        incarnation = model.Incarnation(
-            self.settings.ip, target.target, target.started_ms
-        )
+        incarnation = self._incarnation(target)
         fingerprints = {
             broken.fingerprint
             for broken in self.broken_connections
--- a/src/auburnrock/shells/mesh/metrics.py
+++ b/src/auburnrock/shells/mesh/metrics.py
@@ -31,6 +31,8 @@
       peer_bytes: bytes written to other nodes, by kind of message.
       tables_written: number of key table versions that this node wrote, by
         cause.
+      target_limit: limit that the target names, in requests per second.
+      target_leaving: whether the target leaves.
       keys_moved: number of stripes that this node moved to other targets.
     """
 
@@ -78,6 +80,14 @@
             ["cause"],
             **common,
         )
+        self.target_limit = prometheus_client.Gauge(
+            "target_limit_per_second",
+            "Limit that the target names; 0 for none.",
+            **common,
+        )
+        self.target_leaving = prometheus_client.Gauge(
+            "target_leaving", "Whether the target leaves.", **common
+        )
         self.keys_moved = prometheus_client.Counter(
             "stripes_moved", "Stripes given to other targets.", **common
         )
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -255,7 +255,7 @@
         self.ownership.on_lease_not_live = self.system_sync.request_relist
         self.dispatcher.reachable = self.reachable
         self.dispatcher.entries = self.peers.directory.entries
-        self.executor.on_target_ended = self.ownership.grants_changed.set
+        self.executor.on_grants_end = self.ownership.grants_changed.set
 
     async def start(self) -> None:
         """Listens at the addresses and starts the synchronisation."""
@@ -353,8 +353,10 @@
 
     def weight(self) -> float:
         """Returns the weight of this target among those of its service."""
-        return service_time_ratio.capacity_weight(
-            self.executor.queue.slots, self.own_service_time_ratio()
+        return self.executor.queue.rate_limit.share * (
+            service_time_ratio.capacity_weight(
+                self.executor.queue.slots, self.own_service_time_ratio()
+            )
         )
 
     def own_service_time_ratio(self) -> float:
@@ -380,6 +382,7 @@
     def own_entry(self) -> membership.Entry:
         """Returns the entry of this node that is gossiped to all others."""
         executor = self.executor
+        limit = executor.queue.rate_limit
         return membership.Entry(
             self.settings.ip,
             service=self.settings.service,
@@ -390,6 +393,8 @@
             cold=executor.cold_until_ms > self.now_ms(),
             leaving=self.stopping,
             reads_store=self.store_gossip.store_reachable(),
+            limit_per_s=limit.shared_per_s,
+            limited_share=limit.share,
         )
 
     def has_read(self) -> bool:
@@ -441,10 +446,18 @@
         for entry in snapshot.entries:
             if entry.name != self.settings.ip:
                 continue
-            if entry.incarnation is not None and not entry.draining:
-                self.executor.resume_target(
-                    entry.incarnation, entry.slots, entry.service_time_ratio
-                )
+            if entry.incarnation is None:
+                continue
+            if entry.draining:
+                self.executor.resume_drain(entry.incarnation)
+                continue
+            self.executor.resume_target(
+                entry.incarnation,
+                entry.slots,
+                entry.service_time_ratio,
+                entry.limit_per_s,
+                entry.limited_share,
+            )
 
     def suspicions(self) -> list[suspects_module.Suspicion]:
         """Returns the suspected requests for a new neighbour."""
@@ -594,6 +607,12 @@
         for event, count in self.log.counts.items():
             self.metrics.events.labels(event).set(count)
         self.metrics.store_calls.set(self.store.call_count)
+        self.metrics.target_limit.set(
+            self.executor.queue.rate_limit.per_s or 0.0
+        )
+        self.metrics.target_leaving.set(
+            self.executor.drain_since_ms is not None
+        )
         for kind, size in self.peers.sent_bytes.items():
             self.metrics.peer_bytes.labels(kind).set(size)
         return http_server.Response(
@@ -613,7 +632,6 @@
             known = self.executor.target
             if known is not None and known.target == call.target:
                 self.executor.begin_drain("farewell")
-                self.ownership.grants_changed.set()
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         try:
             beat = self.protocol.decode_heartbeat(call.target, request.body)
--- a/src/auburnrock/shells/mesh/peer_connections.py
+++ b/src/auburnrock/shells/mesh/peer_connections.py
@@ -463,6 +463,7 @@
                 cold=changed.cold,
                 leaving=changed.leaving,
                 reads=changed.reads_store,
+                limit_per_s=changed.limit_per_s,
             )
             self.queue_gossip([changed])
 
--- a/src/auburnrock/shells/mesh/wire_protocol.py
+++ b/src/auburnrock/shells/mesh/wire_protocol.py
@@ -63,6 +63,10 @@
     ) -> model.TargetVerdict:
         """Classifies a target's response."""
 
+    @abc.abstractmethod
+    def decode_notice(self, answer: http_client.Response) -> model.TargetNotice:
+        """Decodes what a target says of itself in a response."""
+
     @abc.abstractmethod
     def forwarded_headers(
         self, headers: http_client.Headers
--- a/tests/cover/test_mesh_limits.py
+++ b/tests/cover/test_mesh_limits.py
@@ -109,10 +109,77 @@
     await asyncio.sleep(drain_s)
     await host.kill_node()
     await host.start_node()
-    await fleet.wait_until(lambda: host.node.executor.target is not None)
-    await fleet.wait_until(fleet.is_settled)
+    executor = host.node.executor
+    await fleet.wait_until(lambda: executor.drain_since_ms is not None)
     host.target.executed_requests.clear()
     for each in (fleet.hosts[0], other):
         sending = (fleet.send_request(each, "/check/one") for _ in range(30))
         await asyncio.gather(*sending)
     assert not host.target.executed_requests
+
+
+@pytest_asyncio.fixture(loop_scope="module")
+async def portals():
+    made = mesh_fleet.Fleet()
+    await made.start("portal", "portal")
+    yield made
+    await made.stop()
+
+
+async def send_over_all_keys(fleet, duration_s):
+    """Sends 100 requests a second for keys spread over all targets."""
+    loop = asyncio.get_running_loop()
+    sending = []
+    end_s = loop.time() + duration_s
+    while loop.time() < end_s:
+        key = len(sending) * 2_503 % 65_536
+        path = f"/lookup/{key}"
+        sending.append(
+            loop.create_task(fleet.send_request(fleet.hosts[0], path, key=key))
+        )
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*sending)
+
+
+async def test_keys_move_away_from_a_target_with_a_limit_and_back(portals):
+    target = portals.hosts[0].target
+    for host in portals.hosts:
+        # Times of a millisecond differ too much for equal shares of the keys.
+        host.target.behaviour.work_s = 0.1
+    usual = target.held_key_count()
+    await send_over_all_keys(portals, 2.0)
+    target.behaviour.limit = "10"
+    await send_over_all_keys(portals, 4.0)
+    assert target.held_key_count() < 0.7 * usual
+    target.behaviour.limit = ""
+    await send_over_all_keys(portals, 1.0)
+    await portals.wait_until(lambda: target.held_key_count() > 0.8 * usual)
+
+
+async def test_a_node_that_restarts_remembers_the_limit_of_its_target(fleet):
+    host = fleet.hosts[0]
+    host.target.behaviour.limit = str(LIMIT_PER_S)
+    await send_for(fleet, 0.5, "/lookup/one", key=7)
+    await asyncio.sleep(0.3)
+    await host.kill_node()
+    await host.start_node()
+
+    def knows_limit():
+        return host.node.executor.queue.rate_limit.per_s == LIMIT_PER_S
+
+    await fleet.wait_until(knows_limit, limit_s=3.0)
+
+
+async def test_a_limit_that_is_no_number_changes_nothing(fleet):
+    target = fleet.hosts[0].target
+    rate_limit = fleet.hosts[0].node.executor.queue.rate_limit
+    for value in ("-1", "1e3", "nan", "9" * 400, "4,5"):
+        target.behaviour.limit = value
+        status, _, _ = await fleet.send_request(
+            fleet.hosts[1], "/lookup/one", key=7
+        )
+        assert status == 200
+        assert rate_limit.per_s is None
+    target.behaviour.limit = "0.5"
+    await fleet.send_request(fleet.hosts[1], "/lookup/one", key=7)
+    assert rate_limit.per_s == 0.5
