Pass over entries of another writer that no node can use

A deeply nested item made msgspec raise RecursionError, which no decoder caught: the node wrote a fault, listed the store again and met the item again, for as long as it stood there. A port of 99999 made asyncio raise OverflowError, so that the link was never tried again. A version or token near 2**64 could not be written any more once it was raised by one; such a heartbeat raised the fence floor.

Change: one list of decoder errors for store, heartbeats, configuration and frames; a record must name its key, an address that can be connected to and a known state; tables and heartbeats have bounded numbers. What does not is unreadable, is logged and passed over.

Evidence: test_nodes_follow_the_store_beside_odd_entries failed before (faults at all nodes) and passes; one test for each kind of entry.

--- a/src/auburnrock/engine/mesh/model.py
+++ b/src/auburnrock/engine/mesh/model.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import ipaddress
 
 import msgspec
 
@@ -12,6 +13,24 @@
 
 NO_KEY = -1
 
+NUMBER_MAX = 2**53
+"""Upper bound of versions, fencing tokens, sequence numbers and times in
+milliseconds: above any real one, and far below what MessagePack can encode."""
+
+SLOTS_MAX = 1 << 20
+"""Upper bound of the requests that a target runs at once."""
+
+
+def is_address(text: str) -> bool:
+    """Whether a text is an IPv4 address and a port that can be connected to."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    return is_number and 0 < int(port) < 65_536
+
 
 class TargetState(enum.Enum):
     """Whether a target accepts new work, as it reports."""
--- a/src/auburnrock/platform/codec.py
+++ b/src/auburnrock/platform/codec.py
@@ -70,5 +70,5 @@
 def _decode_with(decoder: Callable, kind: type, data: bytes) -> object:
     try:
         return decoder(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except wire_protocol.DECODER_ERRORS as error:
         raise PlatformDecodeError(str(error)) from error
--- a/src/auburnrock/platform/heartbeats.py
+++ b/src/auburnrock/platform/heartbeats.py
@@ -47,13 +47,19 @@
 
     Raises:
       PlatformDecodeError: the data is no valid heartbeat, its state is unknown,
-        or a key range is invalid.
+        or its address, a number or a key range is out of range.
     """
     wire = codec.decode(_Beat, data)
     try:
         state = model.TargetState(wire.status.state)
     except ValueError as error:
         raise codec.PlatformDecodeError(str(error)) from error
+    _check_numbers(wire)
+    if not model.is_address(wire.address):
+        raise codec.PlatformDecodeError(
+            "expected an IPv4 address and a port from 1 to 65535, got"
+            f" {wire.address[:64]!r}"
+        )
     rows = [*wire.holds, *wire.freed]
     if not all(0 <= row[0] <= row[1] < model.KEYS for row in rows):
         raise codec.PlatformDecodeError("a row has keys out of range")
@@ -73,6 +79,21 @@
     )
 
 
+def _check_numbers(wire: _Beat) -> None:
+    """Checks the numbers that are stored, compared or sent on.
+
+    Raises:
+      PlatformDecodeError: one is out of range.
+    """
+    numbers = [wire.born, wire.status.seq_num, *(row[2] for row in wire.holds)]
+    if not all(0 <= number <= model.NUMBER_MAX for number in numbers):
+        raise codec.PlatformDecodeError("a number is out of range")
+    if wire.info.slots > model.SLOTS_MAX:
+        raise codec.PlatformDecodeError(
+            f"expected at most {model.SLOTS_MAX} slots, got {wire.info.slots}"
+        )
+
+
 def encode_reply(reply: model.HeartbeatReply) -> bytes:
     """Encodes the reply to a heartbeat."""
     if reply.granted_ranges is None:
--- a/src/auburnrock/shells/mesh/frames.py
+++ b/src/auburnrock/shells/mesh/frames.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from auburnrock.engine.mesh import peer_messages
+from auburnrock.shells.mesh import wire_protocol
 
 LENGTH_BYTES = 4
 
@@ -92,11 +93,7 @@
             del self.buffer[:end]
             try:
                 message = _decode(frame)
-            except (
-                msgspec.DecodeError,
-                UnicodeDecodeError,
-                zlib.error,
-            ) as error:
+            except (*wire_protocol.DECODER_ERRORS, zlib.error) as error:
                 self.reject(str(error))
                 return
             self.on_message(self, message)
@@ -138,8 +135,8 @@
     """Decodes a message, and decompresses it if necessary.
 
     Raises:
-      msgspec.DecodeError, UnicodeDecodeError, zlib.error: the frame is not a
-        valid message.
+      msgspec.DecodeError, UnicodeDecodeError, RecursionError, zlib.error: the
+        frame is not a valid message.
     """
     message = _DECODER.decode(frame)
     if not isinstance(message, peer_messages.Packed):
--- a/src/auburnrock/shells/mesh/own_record.py
+++ b/src/auburnrock/shells/mesh/own_record.py
@@ -177,7 +177,7 @@
         if item.revision == self.revision:
             return True
         try:
-            record = store_cache.decode_member(item.value)
+            record = store_cache.decode_member(self.record.name, item.value)
         except store_cache.UnreadableItemError:
             return False
         return self.retain_in_new_era(record, item.revision)
@@ -280,7 +280,7 @@
                         self._complete_change(record, result)
                         return
                     continue
-                found = store_cache.decode_member(item.value)
+                found = store_cache.decode_member(self.record.name, item.value)
                 is_live = self.lease.ends_ms() > self.now_ms()
                 if store_restore.resolves_witnesses(
                     record, revision, found, item.revision, is_live
@@ -289,6 +289,10 @@
                 else:
                     self.on_record_lost("record_replaced", item.revision)
                 return
+            except store_cache.UnreadableItemError as error:
+                self.log.write("record_unreadable", key=key, error=str(error))
+                self.on_record_lost("record_replaced", item.revision)
+                return
             except coordination_store.StoreError as error:
                 self.log.write("witnesses_unresolved", reason=str(error))
                 await asyncio.sleep(ownership_context.WRITE_PAUSE_MS / 1_000)
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -120,7 +120,7 @@
                 self.own_record.on_record_lost("record_removed", item.revision)
             return
         try:
-            member = store_cache.decode_member(item.value)
+            member = store_cache.decode_member(name, item.value)
         except store_cache.UnreadableItemError as error:
             self.log.write("record_unreadable", key=item.key, error=str(error))
             return
--- a/src/auburnrock/shells/mesh/store_cache.py
+++ b/src/auburnrock/shells/mesh/store_cache.py
@@ -9,6 +9,7 @@
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peer_messages
 from auburnrock.engine.mesh import store_restore
+from auburnrock.shells.mesh import wire_protocol
 
 BASES_MAX = 4
 """Number of earlier versions of a table that are kept, so that peers are sent
@@ -68,16 +69,31 @@
     return message
 
 
-def decode_member(data: bytes) -> model.Member:
+def decode_member(name: str, data: bytes) -> model.Member:
     """Decodes a node's record.
 
+    Args:
+      name: name of the node, as in the item's key.
+      data: the item's value.
+
     Raises:
-      UnreadableItemError: the data is not a record.
+      UnreadableItemError: the data is not a record of this node that another
+        node can use.
     """
     try:
-        return _MEMBER_DECODER.decode(data)
-    except msgspec.DecodeError as error:
+        member = _MEMBER_DECODER.decode(data)
+    except wire_protocol.DECODER_ERRORS as error:
         raise UnreadableItemError(str(error)) from error
+    if member.name != name:
+        raise UnreadableItemError(f"expected a record of {name}, got another")
+    if not model.is_address(member.address):
+        raise UnreadableItemError(
+            "expected an IPv4 address and a port from 1 to 65535, got"
+            f" {member.address[:64]!r}"
+        )
+    if member.state not in tuple(model.MemberState):
+        raise UnreadableItemError(f"unknown state {member.state}")
+    return member
 
 
 def decode_table(data: bytes) -> table_module.KeyTable:
@@ -87,9 +103,17 @@
       UnreadableItemError: the data is not a key table.
     """
     try:
-        return _TABLE_DECODER.decode(decompress(data))
-    except msgspec.DecodeError as error:
+        table = _TABLE_DECODER.decode(decompress(data))
+    except wire_protocol.DECODER_ERRORS as error:
         raise UnreadableItemError(str(error)) from error
+    largest = max(
+        table.version,
+        table.fence_floor,
+        max((stripe.fence for stripe in table.stripes), default=0),
+    )
+    if largest > model.NUMBER_MAX:
+        raise UnreadableItemError(f"version or token {largest} is too large")
+    return table
 
 
 class StoreCache:
--- a/src/auburnrock/shells/mesh/wire_protocol.py
+++ b/src/auburnrock/shells/mesh/wire_protocol.py
@@ -9,6 +9,10 @@
 from auburnrock.shells.mesh import http_client
 from auburnrock.shells.mesh import http_server
 
+DECODER_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""What msgspec raises for bytes that it cannot decode; the last one if they are
+nested too deeply."""
+
 
 class DecodeError(ValueError):
     """The error of a message that cannot be decoded; the text says why."""
