Take no refusal for a request's own that may belong to an earlier one

A faulty target writes an earlier refusal once more on a kept connection. If it names no attempt, it was taken for the response to the next request there. One that names the attempt could also reach the same attempt again, after a move of its key.

Ruled out: a response that names another attempt was dropped before, and bytes on an idle connection close it.

Change: a connection on which a target refused is not used again; a response that names no attempt counts only on a new connection, otherwise the request may have run. The stand-in names the attempt in its refusals, as targets do.

Evidence: the test, with a refusal that names no attempt, ran a request twice before and passes now.

--- a/src/auburnrock/platform/protocol.py
+++ b/src/auburnrock/platform/protocol.py
@@ -41,6 +41,10 @@
         """Whether a response echoes the id of this attempt, or no id."""
         return requests.matches_attempt(answer, attempt)
 
+    def names_attempt(self, answer: http_client.Response, attempt: str) -> bool:
+        """Whether a response echoes the id of this attempt."""
+        return requests.names_attempt(answer, attempt)
+
     def classify_response(
         self, answer: http_client.Response, attempt: str
     ) -> model.TargetVerdict:
--- a/src/auburnrock/platform/requests.py
+++ b/src/auburnrock/platform/requests.py
@@ -69,6 +69,12 @@
     return echoed is None or echoed.decode("latin-1") == attempt
 
 
+def names_attempt(answer: http_client.Response, attempt: str) -> bool:
+    """Whether a response echoes the id of this attempt."""
+    echoed = answer.header(names.ATTEMPT_ID)
+    return echoed is not None and echoed.decode("latin-1") == attempt
+
+
 def classify_response(
     answer: http_client.Response, attempt: str
 ) -> model.TargetVerdict:
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -436,8 +436,17 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
-        self.client.release(connection)
-        return self._outcome_of(run, target, response, now_ms)
+        verdict = self.protocol.classify_response(response, run.attempt)
+        names_attempt = self.protocol.names_attempt(response, run.attempt)
+        if not names_attempt and connection.exchange_count > 1:
+            # It may belong to an earlier request on this connection.
+            verdict = model.TargetVerdict.UNUSABLE
+        if verdict is model.TargetVerdict.ANSWER:
+            self.client.release(connection)
+        else:
+            # A faulty target may send the same refusal again.
+            connection.abort()
+        return self._outcome_of(run, target, response, verdict, now_ms)
 
     def _is_current(self, target: model.Heartbeat) -> bool:
         """Whether this incarnation of the target is still the current one."""
@@ -451,9 +460,9 @@
         run: peer_messages.RunRequest,
         target: model.Heartbeat,
         response: http_client.Response,
+        verdict: model.TargetVerdict,
         sent_ms: float,
     ) -> peer_messages.RunOutcome:
-        verdict = self.protocol.classify_response(response, run.attempt)
         if verdict in _OWN_RESPONSES:
             ends_limit = verdict is model.TargetVerdict.ANSWER
             self._apply_notice(run, target, response, ends_limit)
--- a/src/auburnrock/shells/mesh/http_client.py
+++ b/src/auburnrock/shells/mesh/http_client.py
@@ -78,6 +78,7 @@
     """A connection and the exchange on it.
 
     Attributes:
+      exchange_count: number of exchanges so far.
       on_progress: called when part of a response was received.
     """
 
@@ -88,6 +89,7 @@
         self.waiter: asyncio.Future | None = None
         self.accepts: Callable[[Response], bool] | None = None
         self.reusable = True
+        self.exchange_count = 0
         self.closed = False
         self.idle_since_ms = now_ms()
         self.idle_max_ms = IDLE_DEFAULT_MS
@@ -123,6 +125,7 @@
         """
         self.waiter = asyncio.get_running_loop().create_future()
         self.accepts = accepts
+        self.exchange_count += 1
         self.reset()
         self.transport.write(data)
         return self.waiter
--- a/src/auburnrock/shells/mesh/wire_protocol.py
+++ b/src/auburnrock/shells/mesh/wire_protocol.py
@@ -61,6 +61,10 @@
     ) -> bool:
         """Whether a response does not belong to another request."""
 
+    @abc.abstractmethod
+    def names_attempt(self, answer: http_client.Response, attempt: str) -> bool:
+        """Whether a response certainly belongs to this attempt."""
+
     @abc.abstractmethod
     def classify_response(
         self, answer: http_client.Response, attempt: str
--- a/src/auburnrock_standins/mesh_target.py
+++ b/src/auburnrock_standins/mesh_target.py
@@ -54,6 +54,12 @@
         for none.
       limit: value of the limit that responses name; empty for none.
       leaving: whether responses say that the target leaves.
+      refuse: number of further requests that are refused.
+      names_refused: whether a refusal echoes the attempt.
+      repeats_refusal: whether the last refusal on a connection is sent again
+        before the response to the next request.
+      head_bytes: number of bytes of the response after which the connection is
+        closed; 0 for all.
     """
 
     work_s: float = 0.0
@@ -65,6 +71,10 @@
     crash_path: str = ""
     limit: str = ""
     leaving: bool = False
+    refuse: int = 0
+    names_refused: bool = True
+    repeats_refusal: bool = False
+    head_bytes: int = 0
 
 
 class MeshTarget:
@@ -107,6 +117,7 @@
         self.on_hold_accepted: Callable[[Hold], None] = lambda hold: None
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.refusals: dict[asyncio.StreamWriter, bytes] = {}
         self.task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -224,6 +235,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.refusals.pop(writer, None)
             writer.close()
 
     async def serve_one(
@@ -244,10 +256,25 @@
             self.keyed and key >= 0 and not self.holds_key(key)
         ):
             writer.write(
-                b"HTTP/1.1 421 M\r\nAuburnrock-Not-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
+                "HTTP/1.1 421 M\r\nAuburnrock-Not-Executed: 1\r\n"
+                f"Auburnrock-Attempt-Id: {attempt}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
             )
             return True
+        if self.behaviour.repeats_refusal and writer in self.refusals:
+            writer.write(self.refusals[writer])
+            await writer.drain()
+        if self.behaviour.refuse > 0:
+            self.behaviour.refuse -= 1
+            named = f"Auburnrock-Attempt-Id: {attempt}\r\n"
+            refusal = (
+                "HTTP/1.1 503 R\r\nAuburnrock-Not-Executed: 1\r\n"
+                f"{named if self.behaviour.names_refused else ''}"
+                "Content-Length: 0\r\n\r\n"
+            ).encode()
+            self.refusals[writer] = refusal
+            writer.write(refusal)
+            return True
         self.executed_requests.append(
             ExecutedRequest(
                 attempt,
@@ -293,6 +320,9 @@
             writer.write(head + b"Connection: close\r\n\r\n" + body)
             return False
         length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+        if behaviour.head_bytes:
+            writer.write((head + length + body)[: behaviour.head_bytes])
+            return False
         if behaviour.cut:
             writer.write(head + length + body[:3])
             return False
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -948,3 +948,21 @@
     assert other.node.peers.unfinished_count() == 1
     link.connection.transport.resume_reading()
     await fleet.wait_until(lambda: not other.node.peers.unfinished_count())
+
+
+@pytest.mark.parametrize("names_refused", [True, False])
+async def test_a_refusal_that_is_sent_again_is_taken_for_no_other_request(
+    fleet, names_refused
+):
+    for host in fleet.hosts[2:]:
+        host.target.behaviour.repeats_refusal = True
+        host.target.behaviour.names_refused = names_refused
+        host.target.behaviour.work_s = 0.02
+        host.target.behaviour.refuse = 1
+    for number in range(12):
+        status, _, _ = await fleet.send_request(
+            fleet.hosts[number % 4], "/book/x", method="POST", data=b"d"
+        )
+        runs = fleet.execution_count(f"at-{fleet.attempts}")
+        assert runs <= 1
+        assert runs == 0 or status != 503
