Test that an answer that ends within its head is no success

It cannot happen here: a response is delivered only when its framing says that it is complete, and one without a length only if its head was complete and the connection ended regularly. The test cuts the answer at every seventh byte of its head; the caller always gets 502 or 504.

--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -966,3 +966,14 @@
         runs = fleet.execution_count(f"at-{fleet.attempts}")
         assert runs <= 1
         assert runs == 0 or status != 503
+
+
+async def test_an_answer_that_ends_within_its_head_is_no_success(fleet):
+    for size in range(1, 100, 7):
+        for host in fleet.hosts[2:]:
+            host.target.behaviour.head_bytes = size
+        status, body, _ = await fleet.send_request(
+            fleet.hosts[size % 4], "/book/x", method="POST", data=b"d"
+        )
+        assert status in (502, 504)
+        assert body == b""
