--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -1,8 +1,9 @@
 """A randomized soak of real node processes under faults injected from outside.
 
-Usage: python -m tests.common.mesh_soak FIRST LAST [restores]
+Usage: python -m tests.common.mesh_soak FIRST LAST [restores] [targets]
 
-Runs the seeds from FIRST to LAST, with restores of the store if requested.
+Runs the seeds from FIRST to LAST, with restores of the store and with faulty
+targets if requested.
 Exits with 1 if a guarantee was violated; the output of the nodes is then in the
 folder of the seed.
 
@@ -79,6 +80,7 @@
       seed: seed of the schedule of faults.
       program: arguments of `python` that start a node.
       restores: whether the store is restored from older copies.
+      faulty_targets: whether targets name limits, repeat refusals and crash.
       broken: descriptions of the violated guarantees.
       attempts: all requests of callers.
       targets: all incarnations of targets.
@@ -91,11 +93,13 @@
         deployment: processes.Deployment,
         program: tuple[str, ...] = ("-m", "auburnrock.programs.mesh_node"),
         restores: bool = False,
+        faulty_targets: bool = False,
     ):
         self.seed = seed
         self.deployment = deployment
         self.program = list(program)
         self.restores = restores
+        self.faulty_targets = faulty_targets
         self.rng = random.Random(seed)
         self.broken: list[str] = []
         self.attempts: list[Attempt] = []
@@ -179,7 +183,9 @@
     async def inject_faults(self) -> None:
         """Injects all faults of the schedule."""
         async with asyncio.TaskGroup() as faults:
-            for fault in mesh_soak_faults.schedule(self.seed, self.restores):
+            for fault in mesh_soak_faults.schedule(
+                self.seed, self.restores, self.faulty_targets
+            ):
                 faults.create_task(self.inject_fault(fault))
 
     async def inject_fault(self, fault: mesh_soak_faults.Fault) -> None:
@@ -228,6 +234,22 @@
                 await host.start_target()
         elif fault.kind == "lose_answers":
             host.target.behaviour.lose += 3
+        elif fault.kind == "limit":
+            behaviour = host.target.behaviour
+            behaviour.limit = "5.5"
+            await asyncio.sleep(fault.for_s)
+            behaviour.limit = ""
+        elif fault.kind == "repeat_refusal":
+            host.target.behaviour.names_refused = False
+            host.target.behaviour.repeats_refusal = True
+            host.target.behaviour.refuse += 3
+        elif fault.kind == "crash_request":
+            behaviour = host.target.behaviour
+            behaviour.crash_path = "/check/"
+            await asyncio.sleep(fault.for_s)
+            behaviour.crash_path = ""
+            if not host.target.server.is_serving():
+                await host.start_target()
         elif fault.kind == mesh_soak_faults.STORE_RESTORED:
             for each in self.hosts if fault.kills_all_nodes else ():
                 each.process.kill()
@@ -415,21 +437,30 @@
     folder: pathlib.Path,
     program: tuple[str, ...] | None = None,
     restores: bool = False,
+    faulty_targets: bool = False,
 ) -> list[str]:
     """Runs one seed; returns the violated guarantees."""
     with processes.Deployment(folder) as deployment:
         options = {"program": program} if program else {}
-        soak = Soak(seed, deployment, restores=restores, **options)
+        soak = Soak(
+            seed,
+            deployment,
+            restores=restores,
+            faulty_targets=faulty_targets,
+            **options,
+        )
         return await soak.run()
 
 
-def main(first: int, last: int, restores: bool) -> int:
+def main(first: int, last: int, restores: bool, faulty_targets: bool) -> int:
     """Runs seeds and prints a line for each; returns the exit status."""
     code = 0
     for seed in range(first, last + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         began_s = time.monotonic()
-        broken = asyncio.run(run(seed, folder, restores=restores))
+        broken = asyncio.run(
+            run(seed, folder, restores=restores, faulty_targets=faulty_targets)
+        )
         took_s = time.monotonic() - began_s
         print(f"seed={seed} took_s={took_s:.1f} broken={len(broken)}")
         for text in broken:
@@ -440,5 +471,10 @@
 
 if __name__ == "__main__":
     sys.exit(
-        main(int(sys.argv[1]), int(sys.argv[2]), "restores" in sys.argv[3:])
+        main(
+            int(sys.argv[1]),
+            int(sys.argv[2]),
+            "restores" in sys.argv[3:],
+            "targets" in sys.argv[3:],
+        )
     )
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -36,6 +36,10 @@
 )
 
 
+TARGET_KINDS = ("limit", "repeat_refusal", "crash_request")
+"""Kinds of faults of targets, in addition to KINDS, of schedules with faulty
+targets only."""
+
 STORE_RESTORED = "store_restored"
 """Kind of fault, in addition to KINDS, of schedules with restores only."""
 
@@ -70,12 +74,15 @@
     kills_all_nodes: bool = False
 
 
-def schedule(seed: int, restores: bool = False) -> list[Fault]:
+def schedule(
+    seed: int, restores: bool = False, faulty_targets: bool = False
+) -> list[Fault]:
     """Returns the faults of a seed, in the order of their times.
 
     Args:
       seed: seed of the schedule.
       restores: whether the store is also restored, once or twice.
+      faulty_targets: whether targets also have faults of TARGET_KINDS.
     """
     rng = random.Random(seed)
     faults = []
@@ -102,6 +109,15 @@
                 rng.random() < KILLS_ALL_SHARE,
             )
         )
+    for _ in range(rng.randint(2, 4) if faulty_targets else 0):
+        faults.append(
+            Fault(
+                rng.uniform(0.0, FAULTS_S),
+                rng.choice(TARGET_KINDS),
+                rng.randrange(len(SERVICES)),
+                rng.choice((0.8, 1.5, 3.0)),
+            )
+        )
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
--- a/tests/cover/test_mesh_soak.py
+++ b/tests/cover/test_mesh_soak.py
@@ -23,6 +23,20 @@
     assert await mesh_soak.run(seed, tmp_path, restores=True) == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_nodes_keep_their_promises_beside_faulty_targets(seed, tmp_path):
+    assert await mesh_soak.run(seed, tmp_path, faulty_targets=True) == []
+
+
+def test_a_schedule_with_faulty_targets_has_the_other_faults_as_well():
+    for seed in range(20):
+        faults = mesh_soak_faults.schedule(seed, faulty_targets=True)
+        kinds = mesh_soak_faults.TARGET_KINDS
+        others = [fault for fault in faults if fault.kind not in kinds]
+        assert len(others) < len(faults)
+        assert others == mesh_soak_faults.schedule(seed)
+
+
 def test_a_schedule_with_restores_has_the_other_faults_as_well():
     for seed in range(20):
         with_restores = mesh_soak_faults.schedule(seed, restores=True)
