Explain a refusal by crashes for as long as nodes remember them

A request is refused for up to ten minutes after a crash, and nodes remember its crashes a minute longer; auburnctl explain looked back one minute.

--- a/src/auburnrock/ctl/explain.py
+++ b/src/auburnrock/ctl/explain.py
@@ -24,9 +24,9 @@
 """How long after the request's last line state changes are included, in
 milliseconds. A process may log the cause of a failure after its effect."""
 
-SUSPICION_MS = 60_000
+SUSPICION_MS = 660_000
 """How long before the request's last line the crashes of requests with the same
-fingerprint are included, in milliseconds; a node forgets them then."""
+fingerprint are included, in milliseconds; nodes remember them no longer."""
 
 CONTEXT_EVENTS = frozenset(
     {
