Resume only a drain that the target's heartbeats do not tell

What callers would see: a target that takes its leaving back, or whose state an older store told, gets no keys after a restart of its node.

Cause: a restarted node resumed every drain that its neighbours knew of. Leaving told by heartbeats is told again by the next one, and must follow it; only leaving that a response names needs the memory.

Change: the entry says whether a response named the leaving.

--- a/src/auburnrock/engine/mesh/membership.py
+++ b/src/auburnrock/engine/mesh/membership.py
@@ -58,6 +58,8 @@
       cold: whether the target has just started and is slow.
       leaving: whether the node is about to stop.
       reads_store: whether the store answers the node.
+      named_leaving: whether a response of the target said that it leaves, which
+        its heartbeats may not say.
       limit_per_s: requests per second that the target takes, without small
         changes; 0 for no limit.
       limited_share: part of its usual weight that the target has by the limit.
@@ -76,6 +78,7 @@
     reads_store: bool = False
     limit_per_s: float = 0.0
     limited_share: float = 1.0
+    named_leaving: bool = False
 
     def version_key(self) -> tuple[int, bool]:
         """Returns the key that orders entries of one node; higher is later."""
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -90,8 +90,8 @@
       drain_since_ms: when the target's drain began; None if it does not drain.
       service_time_ratio: estimate of the target's speed.
       keyed: whether the target's service is divided by key.
-      leaving: incarnation of the target of which the former process of this
-        node knew that it leaves; None if it knew of none.
+      leaving: incarnation of the target that has said in a response, to this
+        process or a former one of this node, that it leaves; None without one.
       closing: whether this process ends once the running requests have ended.
       resumed: incarnation of the target that the former process of this node
         knew, until the first heartbeat is received here; None after.
@@ -215,9 +215,10 @@
         self.log.write("target_resumed", target=incarnation.target, slots=slots)
 
     def resume_drain(self, incarnation: model.Incarnation) -> None:
-        """Resumes the drain of a target that the former process knew to leave.
+        """Resumes the drain of a target whose response said that it leaves.
 
-        Its drain period counts as over, since its beginning is not known.
+        The former process of this node received it. The drain period counts as
+        over, since its beginning is not known.
         """
         self.leaving = incarnation
         self._resume_drain()
@@ -523,6 +524,7 @@
             return
         notice = self.protocol.decode_notice(response)
         if notice.leaving:
+            self.leaving = self._incarnation(target)
             self.begin_drain("response")
         if notice.unreadable:
             self.log.write(
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -395,6 +395,8 @@
             reads_store=self.store_gossip.store_reachable(),
             limit_per_s=limit.shared_per_s,
             limited_share=limit.share,
+            named_leaving=executor.leaving is not None
+            and executor.leaving == self.holder.incarnation,
         )
 
     def has_read(self) -> bool:
@@ -448,8 +450,9 @@
                 continue
             if entry.incarnation is None:
                 continue
-            if entry.draining:
+            if entry.named_leaving:
                 self.executor.resume_drain(entry.incarnation)
+            if entry.draining:
                 continue
             self.executor.resume_target(
                 entry.incarnation,
