--- a/review/harness/script.py
+++ b/review/harness/script.py
@@ -14,6 +14,9 @@
 LIMIT_S = 115.0
 """Longest duration of a script; the review allows 120 s."""
 
+SHUTDOWN_S = 0.2
+"""Time in which the connections of the stand-ins end."""
+
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
@@ -63,6 +66,9 @@
 ) -> int:
     async with asyncio.timeout(LIMIT_S):
         broken = await play(fleet)
+    for machine in fleet.machines:
+        await machine.upstream.exit()
+    await asyncio.sleep(SHUTDOWN_S)
     fleet.record.write("result", broken=broken or "no")
     print(broken or "the rule held")
     return BROKEN if broken else HELD
