--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,6 @@
 
 from harness import configuration
 from harness import fleet as fleet_module
-from harness import http1
 from harness import script
 from harness import upstream
 import msgspec
@@ -53,7 +52,6 @@
     Attributes:
       ALL: all upstreams.
       counted: rows held by grants that count for the rule.
-      working: key and start of each running request, by attempt.
       thawed_s: when the node beside it was last thawed.
     """
 
@@ -62,24 +60,10 @@
     def __init__(self, *values):
         super().__init__(*values)
         self.counted: list[tuple[int, int, int, float]] = []
-        self.working: dict[str, tuple[int, float]] = {}
         self.thawed_s = 0.0
         self.work_s = WORK_S
         Watched.ALL.append(self)
 
-    async def answer(
-        self, request: http1.Message, writer: asyncio.StreamWriter
-    ) -> bool:
-        """Runs one request, and notes its key meanwhile."""
-        attempt = request.headers.get("auburnrock-attempt-id", "")
-        key = int(request.headers.get("auburnrock-shard-key", -1))
-        if self.keyed and self.holds_key(key):
-            self.working[attempt] = (key, time.monotonic())
-        try:
-            return await super().answer(request, writer)
-        finally:
-            self.working.pop(attempt, None)
-
     def _apply(self, reply: dict, sent_s: float) -> None:
         before = {row[:3] for row in self.held}
         super()._apply(reply, sent_s)
--- a/review/harness/upstream.py
+++ b/review/harness/upstream.py
@@ -26,6 +26,9 @@
       work_s: execution time of a request.
       held: rows of first key, last key, fencing token and end of the hold.
       freed: rows of first key, last key and handover, not yet acknowledged.
+      releasing: rows that a reply left out and on which work still runs; they
+        are reported as held until it has ended.
+      working: key and start of each running request, by attempt.
       beats: whether heartbeats are sent.
       running: number of requests at work.
     """
@@ -55,6 +58,8 @@
         self.state = "ready"
         self.held: list[tuple[int, int, int, float]] = []
         self.freed: list[list] = []
+        self.releasing: list[tuple[int, int, int, float]] = []
+        self.working: dict[str, tuple[int, float]] = {}
         self.beats = True
         self.running = 0
         self.server: asyncio.Server | None = None
@@ -109,12 +114,14 @@
                 except (OSError, asyncio.IncompleteReadError, TimeoutError):
                     await asyncio.sleep(CALL_RETRY_S)
                     continue
-            await asyncio.sleep(RELEASE_BEAT_S if self.freed else HEARTBEAT_S)
+            releases = self.freed or self.releasing
+            await asyncio.sleep(RELEASE_BEAT_S if releases else HEARTBEAT_S)
 
     async def _beat(self) -> None:
         self.sequence += 1
         sent_s = time.monotonic()
         self.held = [row for row in self.held if row[3] > sent_s]
+        self._release(sent_s)
         freed = list(self.freed)
         message = {
             "address": self.address,
@@ -132,7 +139,8 @@
             },
         }
         if self.keyed:
-            message["holds"] = [list(row[:3]) for row in self.held]
+            rows = [*self.held, *self.releasing]
+            message["holds"] = [list(row[:3]) for row in rows]
             message["freed"] = freed
         answer = await http1.call(
             self.control,
@@ -149,10 +157,22 @@
     def _apply(self, reply: dict, sent_s: float) -> None:
         until_s = sent_s + float(reply["hold_time"].removesuffix("ms")) / 1_000
         rows = [(row[0], row[1], row[2], until_s) for row in reply["holds"]]
-        for first, last, _, _ in self.held:
+        for first, last, fence, end_s in self.held:
             for low, high in _uncovered(first, last, rows):
-                self.freed.append([low, high, f"{self.name}-{low}"])
+                self.releasing.append((low, high, fence, end_s))
         self.held = rows
+        self._release(time.monotonic())
+
+    def _release(self, now_s: float) -> None:
+        """Frees the rows without work; one that has expired is not reported."""
+        busy = {key for key, _ in self.working.values()}
+        kept = []
+        for row in self.releasing:
+            if any(row[0] <= key <= row[1] for key in busy):
+                kept.append(row)
+            elif row[3] > now_s:
+                self.freed.append([row[0], row[1], f"{self.name}-{row[0]}"])
+        self.releasing = kept
 
     def holds_key(self, key: int) -> bool:
         """Whether the upstream holds a key now."""
@@ -196,10 +216,12 @@
             return True
         self.record.write("runs", upstream=self.name, attempt=attempt)
         self.running += 1
+        self.working[attempt] = (key, time.monotonic())
         try:
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
+            del self.working[attempt]
         writer.write(self.response(request, attempt))
         await writer.drain()
         return True
