Count header and trailer lines wherever they come in a message

What callers saw: all requests that a node was handling ended without an answer.

Cause: the parser reports the trailers of a chunked body as headers, after the head. The limit of a head was counted until the head was complete, the limit of a body for body bytes only, so endless trailers had none, and each line of six bytes took some 200 bytes. A caller's trailers had no limit either, and became headers of its request.

Ruled out: the deadline. It ends the exchange after a second, which is too late.

Change: each header and trailer line is counted as the parser reports it, over all messages of an exchange; trailers are not kept. What the parser does not report, and all bytes of an exchange, have limits too. Bodies are collected in one buffer, since short chunks took many times their size in a list.

Evidence: of the new cases of test_an_answer_without_end_fails_within_bounds, many trailers, a trailer without end, an extension without end and short chunks failed before (4 of 4) and pass.

Conclusion: no part of a message is without a limit now.

--- a/src/auburnrock/shells/mesh/http_client.py
+++ b/src/auburnrock/shells/mesh/http_client.py
@@ -21,11 +21,15 @@
 reset."""
 
 HEAD_MAX_BYTES = 1 << 16
-"""Longest head of a response; a faulty target may send an endless one."""
+"""Longest head of a response, with its trailers and with the interim responses
+before it; a faulty target may send endless ones."""
+
+STATUS_LINE_MIN_BYTES = 13
+"""Shortest status line."""
 
 BODY_MAX_BYTES = 16 << 20
 """Longest body of a response. Pages of the store have about 1.4 MB, responses
-of targets far less, and a node of 200 MB must hold several at once."""
+of targets far less."""
 
 POOL_MAX = 32
 """Largest number of idle connections to one address."""
@@ -80,6 +84,10 @@
     Attributes:
       exchange_count: number of exchanges so far.
       on_progress: called when part of a response was received.
+      head_bytes: bytes of the heads and trailers of this exchange.
+      received_bytes: bytes received in this exchange.
+      unparsed_bytes: bytes received since the parser last found a part of a
+        response, such as a header.
     """
 
     def __init__(self, now_ms: Callable[[], float]):
@@ -95,15 +103,17 @@
         self.idle_max_ms = IDLE_DEFAULT_MS
         self.clean_end = False
         self.on_progress: Callable[[], None] = ignore_progress
+        self.head_bytes = 0
+        self.received_bytes = 0
+        self.unparsed_bytes = 0
         self.reset()
 
     def reset(self) -> None:
         """Clears the parsed parts of the last response."""
         self.headers: Headers = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.unframed = False
         self.has_head = False
-        self.head_bytes = 0
         self.body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -126,6 +136,9 @@
         self.waiter = asyncio.get_running_loop().create_future()
         self.accepts = accepts
         self.exchange_count += 1
+        self.head_bytes = 0
+        self.received_bytes = 0
+        self.unparsed_bytes = 0
         self.reset()
         self.transport.write(data)
         return self.waiter
@@ -137,23 +150,29 @@
             self.abort()
             return
         self.on_progress()
+        self.received_bytes += len(data)
+        self.unparsed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reusable = False
-            if self.waiter is not None:
-                self.fail("invalid HTTP response")
+            self.fail(self.excess() or "invalid HTTP response")
             self.abort()
             return
-        if not self.has_head:
-            self.head_bytes += len(data)
-        if self.head_bytes > HEAD_MAX_BYTES:
-            self.fail(f"response head longer than {HEAD_MAX_BYTES} bytes")
-            self.abort()
-        elif self.body_bytes > BODY_MAX_BYTES:
-            self.fail(f"response body longer than {BODY_MAX_BYTES} bytes")
+        excess = self.excess()
+        if excess:
+            self.fail(excess)
             self.abort()
 
+    def excess(self) -> str:
+        """Returns which limit the response exceeds; nothing if it does not."""
+        if max(self.head_bytes, self.unparsed_bytes) > HEAD_MAX_BYTES:
+            return f"response head longer than {HEAD_MAX_BYTES} bytes"
+        received_bytes = self.received_bytes - HEAD_MAX_BYTES
+        if max(self.body_bytes, received_bytes) > BODY_MAX_BYTES:
+            return f"response body longer than {BODY_MAX_BYTES} bytes"
+        return ""
+
     def eof_received(self) -> bool:
         """Records that the peer closed the connection regularly."""
         self.clean_end = True
@@ -163,11 +182,9 @@
         """Delivers a response framed by the end of the connection, or fails."""
         self.closed = True
         self.reusable = False
-        if self.waiter is None:
-            return
-        if self.unframed and self.clean_end and exc is None:
-            self.deliver_response()
         if self.waiter is not None:
+            if self.unframed and self.clean_end and exc is None:
+                self.deliver_response()
             self.fail("connection ended before a complete response")
 
     def on_message_begin(self) -> None:
@@ -175,10 +192,20 @@
         if self.waiter is None:
             self.reusable = False
         self.reset()
+        self.count_head_bytes(STATUS_LINE_MIN_BYTES)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles one header."""
-        self.headers.append((name.lower(), value.strip(b" \t")))
+        """Handles one header; trailers are counted, and not used."""
+        self.count_head_bytes(len(name) + len(value) + len(b": \r\n"))
+        if not self.has_head:
+            self.headers.append((name.lower(), value.strip(b" \t")))
+
+    def count_head_bytes(self, size: int) -> None:
+        """Counts part of a head; stops the parser beyond the limit."""
+        self.unparsed_bytes = 0
+        self.head_bytes += size
+        if self.head_bytes > HEAD_MAX_BYTES:
+            raise ValueError("response head too long")
 
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
@@ -191,9 +218,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Handles part of the body."""
+        self.unparsed_bytes = 0
         self.body_bytes += len(body)
-        if self.body_bytes <= BODY_MAX_BYTES:
-            self.body.append(body)
+        if self.body_bytes > BODY_MAX_BYTES:
+            raise ValueError("response body too long")
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Delivers a complete response, unless it is an interim one."""
@@ -208,8 +237,9 @@
         if self.waiter is None or self.waiter.done():
             return
         response = Response(
-            self.parser.get_status_code(), self.headers, b"".join(self.body)
+            self.parser.get_status_code(), self.headers, bytes(self.body)
         )
+        self.body = bytearray()
         if not self.accepts(response):
             self.reusable = False
             return
@@ -290,7 +320,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self.now_ms), host, int(port)
+                    lambda: Connection(self.now_ms),
+                    host,
+                    int(port),
                 )
         except ConnectionRefusedError as error:
             raise ConnectError("connection refused", True) from error
--- a/src/auburnrock/shells/mesh/http_server.py
+++ b/src/auburnrock/shells/mesh/http_server.py
@@ -138,9 +138,8 @@
         """Clears the parsed parts of the last request."""
         self.path = b""
         self.headers: Headers = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.size = 0
-        self.body_size = 0
         self.in_body = False
         self.received_ms = 0.0
         self.error_status = 0
@@ -190,8 +189,14 @@
         self.path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles one header."""
-        self.headers.append((name.lower(), value.strip(b" \t")))
+        """Handles one header; trailers are counted, and not used."""
+        if not self.in_body:
+            self.headers.append((name.lower(), value.strip(b" \t")))
+            return
+        self.size += len(name) + len(value) + 4
+        if self.size > self.server.limits.header_bytes:
+            self.error_status = 431
+            raise ValueError("request trailers too long")
 
     def on_headers_complete(self) -> None:
         """Checks a complete head."""
@@ -207,8 +212,10 @@
 
     def head_error_status(self) -> int:
         """Returns the status that rejects the head; 0 if it is valid."""
-        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size + len(self.path) > self.server.limits.header_bytes:
+        self.size = len(self.path) + sum(
+            len(name) + len(value) + 4 for name, value in self.headers
+        )
+        if self.size > self.server.limits.header_bytes:
             return 431
         if not self.path.startswith(b"/"):
             return 400
@@ -233,11 +240,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Handles part of the body."""
-        self.body.append(body)
-        self.body_size += len(body)
-        if self.body_size > self.server.limits.body_bytes:
+        if len(self.body) + len(body) > self.server.limits.body_bytes:
             self.error_status = 413
             raise ValueError("request body too long")
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Starts the handler of a complete request."""
@@ -245,7 +251,7 @@
             self.parser.get_method(),
             self.path,
             self.headers,
-            b"".join(self.body),
+            bytes(self.body),
             self.received_ms,
         )
         exchange = Exchange(not self.parser.should_keep_alive())
--- a/tests/cover/test_mesh_http_client.py
+++ b/tests/cover/test_mesh_http_client.py
@@ -8,6 +8,8 @@
 from auburnrock.shells import clock
 from auburnrock.shells.mesh import http_client
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
 ENDLESS = {
     "a head of many headers": (b"HTTP/1.1 200 OK\r\n", b"x-a: 1234567\r\n"),
     "one header without end": (b"HTTP/1.1 200 OK\r\nx-a: ", b"1" * 64),
@@ -21,6 +23,11 @@
         b"1" * 4_096,
     ),
     "bytes that are no answer": (b"", b"\x00\xff" * 512),
+    "many trailers": (CHUNKED_HEAD + b"0\r\n", b"x: 1\r\n" * 64),
+    "one trailer without end": (CHUNKED_HEAD + b"0\r\nx: ", b"1" * 64),
+    "an extension of a chunk": (CHUNKED_HEAD + b"1;", b"a" * 64),
+    "a body of short chunks": (CHUNKED_HEAD, b"2\r\nab\r\n" * 512),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 16),
 }
 
 
@@ -58,7 +65,7 @@
         await endless.closed.wait()
     client.release(connection)
     assert not client.idle
-    kept = sum(len(part) for part in connection.body)
+    kept = len(connection.body)
     assert kept <= http_client.BODY_MAX_BYTES
     # 16 MB more are in the buffers of the two ends.
     assert endless.sent < http_client.BODY_MAX_BYTES + (16 << 20)
