Free what a message held, and bound what all of them hold together

What callers saw: all requests that a node was handling ended without an answer.

Cause: two, each of which exceeds 300 MB. A connection that was given up kept up to 16 MB of response, and it and its parser refer to each other, so only a garbage collection frees them, which runs once per 10,000 new objects. And 16 MB for each of 18 slots are 288 MB.

Change: a connection frees what it has received when the exchange ends, and its parser when it is closed; the same for callers' connections. ByteBudget adds up what the process keeps for responses and requests that are being received, requests that run, responses that are not read, and outcomes that are retained, beyond 16 KB each. Beyond a fifth of the memory it drops the largest that can be dropped: an endless response fails, a request that has not run gets 503, a retained outcome becomes unknown. The body of a request of another node was kept for three seconds after its end, and is freed at once.

Conclusion: an endless message costs the process at most its share of a common limit, and others are served meanwhile.

--- a/src/auburnrock/platform/store_client.py
+++ b/src/auburnrock/platform/store_client.py
@@ -100,9 +100,14 @@
       marked_era: the latest era whose marker is known to exist; -1 before.
     """
 
-    def __init__(self, address: str, now_ms: Callable[[], float]):
+    def __init__(
+        self,
+        address: str,
+        now_ms: Callable[[], float],
+        budget: http_client.Budget | None = None,
+    ):
         self.address = address
-        self.client = http_client.ConnectionPool(address, now_ms)
+        self.client = http_client.ConnectionPool(address, now_ms, budget)
         self.now_ms = now_ms
         self.call_count = 0
         self.answered_ms = 0.0
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -10,6 +10,7 @@
 
 from auburnrock import errors
 from auburnrock.engine.mesh import admission_queue
+from auburnrock.engine.mesh import byte_budget
 from auburnrock.engine.mesh import crash_suspects as suspects_module
 from auburnrock.engine.mesh import hot_stripes as heat_module
 from auburnrock.engine.mesh import model
@@ -107,6 +108,7 @@
         log: event_log.EventLog,
         metrics: metrics_module.Metrics,
         now_ms: Callable[[], float],
+        budget: byte_budget.ByteBudget,
     ):
         self.settings = settings
         self.protocol = protocol
@@ -118,7 +120,7 @@
         self.queue = admission_queue.AdmissionQueue(1)
         self.stripe_load = heat_module.StripeLoad(now_ms())
         self.client = http_client.ConnectionPool(
-            settings.target_address, now_ms
+            settings.target_address, now_ms, budget
         )
         self.target: model.Heartbeat | None = None
         self.drain_since_ms: float | None = None
--- a/src/auburnrock/shells/mesh/http_client.py
+++ b/src/auburnrock/shells/mesh/http_client.py
@@ -12,6 +12,8 @@
 import httptools
 import msgspec
 
+from auburnrock.engine.mesh import byte_budget
+
 CONNECT_TIMEOUT_S = 1.0
 """Timeout of a connection attempt; a target or store in the same region accepts
 in milliseconds."""
@@ -29,7 +31,7 @@
 
 BODY_MAX_BYTES = 16 << 20
 """Longest body of a response. Pages of the store have about 1.4 MB, responses
-of targets far less."""
+of targets far less. byte_budget limits all of them at once."""
 
 POOL_MAX = 32
 """Largest number of idle connections to one address."""
@@ -41,6 +43,7 @@
 """Idle timeout of peers that state none; the shortest known is twice this."""
 
 Headers = list[tuple[bytes, bytes]]
+Budget = byte_budget.ByteBudget
 
 
 class Response(msgspec.Struct, eq=False):
@@ -84,16 +87,24 @@
     Attributes:
       exchange_count: number of exchanges so far.
       on_progress: called when part of a response was received.
+      budget: limit of the bytes that all connections keep.
+      parser: parser of the responses; None once the connection has ended. The
+        two refer to each other, and would wait for a garbage collection.
       head_bytes: bytes of the heads and trailers of this exchange.
       received_bytes: bytes received in this exchange.
       unparsed_bytes: bytes received since the parser last found a part of a
         response, such as a header.
     """
 
-    def __init__(self, now_ms: Callable[[], float]):
+    def __init__(
+        self, now_ms: Callable[[], float], budget: byte_budget.ByteBudget
+    ):
         self.now_ms = now_ms
+        self.budget = budget
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self.waiter: asyncio.Future | None = None
         self.accepts: Callable[[Response], bool] | None = None
         self.reusable = True
@@ -115,6 +126,7 @@
         self.unframed = False
         self.has_head = False
         self.body_bytes = 0
+        self.budget.release(self)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport, and sets the socket's timeout."""
@@ -163,6 +175,14 @@
         if excess:
             self.fail(excess)
             self.abort()
+            return
+        if self.waiter is None:
+            return
+        size = self.body_bytes + self.head_bytes
+        size += byte_budget.HEADER_OVERHEAD_BYTES * len(self.headers)
+        if size >= byte_budget.COUNTED_MIN_BYTES:
+            for largest in self.budget.hold(self, size):
+                largest.drop()
 
     def excess(self) -> str:
         """Returns which limit the response exceeds; nothing if it does not."""
@@ -173,6 +193,15 @@
             return f"response body longer than {BODY_MAX_BYTES} bytes"
         return ""
 
+    def drop(self) -> None:
+        """Fails the response, the largest when all exceed their budget."""
+        limit_bytes = int(self.budget.limit_bytes)
+        self.fail(
+            f"response of {self.body_bytes} bytes dropped, as all messages"
+            f" together exceed {limit_bytes} bytes"
+        )
+        self.abort()
+
     def eof_received(self) -> bool:
         """Records that the peer closed the connection regularly."""
         self.clean_end = True
@@ -186,6 +215,8 @@
             if self.unframed and self.clean_end and exc is None:
                 self.deliver_response()
             self.fail("connection ended before a complete response")
+        self.reset()
+        self.parser = None
 
     def on_message_begin(self) -> None:
         """Handles the beginning of a message."""
@@ -240,6 +271,7 @@
             self.parser.get_status_code(), self.headers, bytes(self.body)
         )
         self.body = bytearray()
+        self.budget.release(self)
         if not self.accepts(response):
             self.reusable = False
             return
@@ -262,8 +294,9 @@
                 )
 
     def fail(self, reason: str) -> None:
-        """Fails the pending exchange."""
+        """Fails the pending exchange, and frees what was received."""
         waiter, self.waiter = self.waiter, None
+        self.reset()
         if waiter is not None and not waiter.done():
             waiter.set_exception(ConnectionBrokenError(reason))
 
@@ -271,6 +304,7 @@
         """Aborts the connection and the exchange on it."""
         self.reusable = False
         self.waiter = None
+        self.reset()
         if not self.closed and self.transport is not None:
             self.transport.abort()
 
@@ -282,11 +316,19 @@
       address: host and port.
       idle: connections that may be reused, the most recently used last.
       opened: number of connection attempts so far.
+      budget: limit of the bytes that all connections of the process keep;
+        without one they have no common limit.
     """
 
-    def __init__(self, address: str, now_ms: Callable[[], float]):
+    def __init__(
+        self,
+        address: str,
+        now_ms: Callable[[], float],
+        budget: byte_budget.ByteBudget | None = None,
+    ):
         self.address = address
         self.now_ms = now_ms
+        self.budget = budget or byte_budget.unlimited()
         self.idle: list[Connection] = []
         self.opened = 0
 
@@ -320,7 +362,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self.now_ms),
+                    lambda: Connection(self.now_ms, self.budget),
                     host,
                     int(port),
                 )
--- a/src/auburnrock/shells/mesh/http_server.py
+++ b/src/auburnrock/shells/mesh/http_server.py
@@ -11,6 +11,8 @@
 import httptools
 import msgspec
 
+from auburnrock.engine.mesh import byte_budget
+
 PIPELINE_MAX = 64
 """Largest number of concurrent requests of one connection."""
 
@@ -109,25 +111,53 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+OVER_BUDGET_RETRY_S = b"0.5"
+"""Retry delay for a request that the process has no memory for."""
+
+
 class Exchange:
-    """A request on a connection and its response."""
+    """A request on a connection and its response.
+
+    Attributes:
+      connection: the connection.
+      response: the response; None before it is known.
+      is_last: whether the connection is closed after the response.
+      task: task that runs the handler; None after its end.
+    """
 
-    __slots__ = ("is_last", "response", "task")
+    __slots__ = ("connection", "is_last", "response", "task")
 
-    def __init__(self, last: bool):
+    def __init__(self, connection: "Connection", last: bool):
+        self.connection = connection
         self.response: Response | None = None
         self.is_last = last
         self.task: asyncio.Task | None = None
 
+    def drop(self) -> None:
+        """Ends the connection of a caller that does not read its response."""
+        self.connection.abort()
+
 
 class Connection(asyncio.Protocol):
-    """One caller's connection."""
+    """One caller's connection.
+
+    Attributes:
+      parser: parser of the requests; None once the connection has ended. The
+        two refer to each other, and would wait for a garbage collection.
+      budget: limit of the bytes that all connections keep.
+      size: bytes received of the head and the trailers of a request.
+      unsent: holds the bytes of the write buffer in the budget.
+    """
 
     def __init__(self, server: "Server"):
         self.server = server
+        self.budget = server.budget
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self.exchanges: list[Exchange] = []
+        self.unsent = Exchange(self, False)
         self.paused = False
         self.ending = False
         self.reading_since_ms = 0.0
@@ -143,6 +173,7 @@
         self.in_body = False
         self.received_ms = 0.0
         self.error_status = 0
+        self.budget.release(self)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport, and registers the connection."""
@@ -153,17 +184,30 @@
         """Cancels the requests of the connection."""
         self.server.connections.discard(self)
         for exchange in self.exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
+            self.end_exchange(exchange)
         self.exchanges.clear()
+        self.budget.release(self.unsent)
+        self.reset()
+        self.parser = None
+
+    def end_exchange(self, exchange: Exchange) -> None:
+        """Cancels the handler of a request, and frees its response."""
+        self.budget.release(exchange)
+        if exchange.task is not None:
+            exchange.task.cancel()
 
     def pause_writing(self) -> None:
         """Stops writing: the write buffer is full."""
         self.paused = True
+        size = self.transport.get_write_buffer_size()
+        for largest in self.budget.hold(self.unsent, size):
+            # The transport is being written to.
+            self.server.loop.call_soon(largest.drop)
 
     def resume_writing(self) -> None:
         """Resumes writing: the write buffer has room again."""
         self.paused = False
+        self.budget.release(self.unsent)
         self.flush()
 
     def data_received(self, data: bytes) -> None:
@@ -179,10 +223,22 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject(self.error_status or 400)
             return
-        if self.in_body or self.ending:
+        if self.ending:
             return
-        if self.size - len(data) > self.server.limits.header_bytes:
+        head_bytes = 0 if self.in_body else self.size - len(data)
+        if head_bytes > self.server.limits.header_bytes:
             self.reject(431)
+            return
+        size = self.size + len(self.body)
+        size += byte_budget.HEADER_OVERHEAD_BYTES * len(self.headers)
+        if size >= byte_budget.COUNTED_MIN_BYTES:
+            for largest in self.budget.hold(self, size):
+                largest.drop()
+
+    def drop(self) -> None:
+        """Rejects the request that is being received: it has not run."""
+        self.server.on_dropped(len(self.body))
+        self.reject(503, [(b"retry-after", OVER_BUDGET_RETRY_S)])
 
     def on_url(self, url: bytes) -> None:
         """Handles part of the path."""
@@ -254,9 +310,15 @@
             bytes(self.body),
             self.received_ms,
         )
-        exchange = Exchange(not self.parser.should_keep_alive())
+        exchange = Exchange(self, not self.parser.should_keep_alive())
         self.exchanges.append(exchange)
         self.reset()
+        # A request that is being handled cannot be dropped any more: it may
+        # have run.
+        for largest in self.budget.hold(
+            exchange, len(request.body), droppable=False
+        ):
+            largest.drop()
         self.reading_since_ms = 0.0
         if exchange.is_last or len(self.exchanges) >= PIPELINE_MAX:
             exchange.is_last = True
@@ -275,13 +337,19 @@
             self.server.on_fault(error)
             exchange.response = Response(502, [], close=True)
         exchange.task = None
+        self.budget.release(exchange)
         self.flush()
+        if exchange in self.exchanges:
+            size = len(exchange.response.body)
+            for largest in self.budget.hold(exchange, size):
+                largest.drop()
 
-    def reject(self, status: int) -> None:
-        """Rejects invalid input, after the responses to earlier requests."""
+    def reject(self, status: int, headers: Headers | None = None) -> None:
+        """Rejects a request, after the responses to earlier requests."""
         self.ending = True
-        exchange = Exchange(True)
-        exchange.response = Response(status, [], close=True)
+        self.reset()
+        exchange = Exchange(self, True)
+        exchange.response = Response(status, headers or [], close=True)
         self.exchanges.append(exchange)
         self.flush()
 
@@ -293,6 +361,7 @@
             if response is None:
                 return
             self.exchanges.pop(0)
+            self.budget.release(exchange)
             response.close = response.close or exchange.is_last
             if self.server.closing:
                 # Requests that were read before still get a response.
@@ -308,11 +377,15 @@
         """Closes the connection once the write buffer has been sent."""
         self.ending = True
         for exchange in self.exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
+            self.end_exchange(exchange)
         self.exchanges.clear()
         self.transport.close()
 
+    def abort(self) -> None:
+        """Ends the connection at once; what is not sent is lost."""
+        self.ending = True
+        self.transport.abort()
+
     def has_unsent(self) -> bool:
         """Whether part of a response is still in the write buffer."""
         return self.transport.get_write_buffer_size() > 0
@@ -341,6 +414,9 @@
       limits: limits of callers' requests.
       closing: whether each further response closes its connection.
       connections: open connections.
+      budget: limit of the bytes that all connections of the process keep.
+      on_dropped: called with the size of the body of a request that is rejected
+        because of the budget.
     """
 
     def __init__(
@@ -348,10 +424,14 @@
         handler: Handler,
         now_ms: Callable[[], float],
         on_fault: Callable[[Exception], None],
+        budget: byte_budget.ByteBudget,
+        on_dropped: Callable[[int], None] = lambda size: None,
     ):
         self.handler = handler
         self.now_ms = now_ms
         self.on_fault = on_fault
+        self.budget = budget
+        self.on_dropped = on_dropped
         self.limits = HttpLimits()
         self.closing = False
         self.connections: set[Connection] = set()
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import secrets
 
+from auburnrock.engine.mesh import byte_budget
 from auburnrock.engine.mesh import coordination_store
 from auburnrock.engine.mesh import crash_suspects as suspects_module
 from auburnrock.engine.mesh import membership
@@ -104,13 +105,14 @@
       settings: settings of this node, as read at its start.
       stopping: whether a graceful shutdown has begun.
       configuration: newest version in force.
+      budget: limit of the bytes that all connections keep.
     """
 
     def __init__(
         self,
         settings: model.Settings,
         protocol: wire_protocol.WireProtocol,
-        connect_store: Callable[[str], coordination_store.CoordinationStore],
+        connect_store: Callable[..., coordination_store.CoordinationStore],
     ):
         self.settings = settings
         self.protocol = protocol
@@ -119,7 +121,8 @@
         self.metrics = metrics_module.Metrics()
         self.stopping = False
         self.stopped = asyncio.Event()
-        self.store = connect_store(settings.store_address)
+        self.budget = byte_budget.budget_of(settings.memory_bytes)
+        self.store = connect_store(settings.store_address, budget=self.budget)
         bounds = settings.bounds
         hold_ms = min(
             bounds.hold_max_ms,
@@ -137,6 +140,7 @@
             self.log,
             self.metrics,
             self.now_ms,
+            self.budget,
         )
         self.started_ms = now_ms
         self.flushed_ms = self.records_checked_ms = self.state_logged_ms = (
@@ -148,6 +152,7 @@
             clock.wall_ms(),
             self.log,
             self.now_ms,
+            self.budget,
         )
         self.dispatcher = dispatcher.Dispatcher(
             settings,
@@ -208,7 +213,13 @@
 
     def server(self, handler: http_server.Handler) -> http_server.Server:
         """Creates an HTTP server whose unexpected exceptions are logged."""
-        return http_server.Server(handler, self.now_ms, self.on_fault)
+        return http_server.Server(
+            handler,
+            self.now_ms,
+            self.on_fault,
+            self.budget,
+            self.on_request_dropped,
+        )
 
     def _connect_parts(self) -> None:
         self.store_gossip.system_sync = self.system_sync
@@ -591,6 +602,14 @@
         """Logs an unexpected exception of this program."""
         self.log.write("fault", where=where, error=repr(error))
 
+    def on_request_dropped(self, body_bytes: int) -> None:
+        """Logs that a request is rejected to stay within the memory."""
+        self.log.write(
+            "request_dropped",
+            body_bytes=body_bytes,
+            limit_bytes=int(self.budget.limit_bytes),
+        )
+
     async def answer_ready(
         self, request: http_server.Request
     ) -> http_server.Response:
--- a/src/auburnrock/shells/mesh/peer_connections.py
+++ b/src/auburnrock/shells/mesh/peer_connections.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from auburnrock import errors
+from auburnrock.engine.mesh import byte_budget
 from auburnrock.engine.mesh import connection_state
 from auburnrock.engine.mesh import crash_suspects
 from auburnrock.engine.mesh import membership
@@ -115,6 +116,17 @@
         """Records that the request is being sent to the target."""
         self.sent = True
 
+    def drop(self) -> None:
+        """Drops the response that is retained in case it is asked for again.
+
+        Whoever asks learns that the request may have run.
+        """
+        self.outcome = peer_messages.Lost(
+            self.run.number,
+            errors.ErrorKind.OUTCOME_UNKNOWN.value,
+            target_selection.NO_TARGET,
+        )
+
 
 class Inbound:
     """A connection that another node has opened.
@@ -169,6 +181,7 @@
       remote_requests: requests of other nodes, by node name, process
         incarnation and number.
       cancelled: requests that were cancelled before they were received.
+      budget: limit of the bytes that all connections of the process keep.
       sent_bytes: bytes written to other nodes, by kind of message.
       rng: random choice of the neighbour to query.
       assigned_witnesses: witnesses when duties were last assigned.
@@ -218,8 +231,10 @@
         unix_ms: int,
         log: event_log.EventLog,
         now_ms: Callable[[], float],
+        budget: byte_budget.ByteBudget,
     ):
         self.name = name
+        self.budget = budget
         self.process_incarnation = process_incarnation
         self.log = log
         self.now_ms = now_ms
@@ -800,6 +815,7 @@
             connection, run, self.now_ms() + run.left_ms + RESEND_MARGIN_MS
         )
         self.remote_requests[request_id] = request
+        self.hold(request, len(run.body), droppable=False)
         late_ms = self.transit_delay_ms(origin, run.sent_ms)
         run = msgspec.structs.replace(
             run,
@@ -899,14 +915,29 @@
                     target_selection.NO_TARGET,
                 )
         request.connection.send(request.outcome)
+        # Only the outcome is sent again.
+        request.run = msgspec.structs.replace(request.run, body=b"")
+        self.budget.release(request)
+        if isinstance(request.outcome, peer_messages.Answered):
+            self.hold(request, len(request.outcome.body))
         kept_s = (request.resent_until_ms - self.now_ms()) / 1_000
         self.loop.call_later(
-            max(RESULT_RETENTION_S, kept_s),
-            self.remote_requests.pop,
-            request_id,
-            None,
+            max(RESULT_RETENTION_S, kept_s), self.forget_request, request_id
         )
 
+    def hold(
+        self, request: RemoteRequest, size: int, droppable: bool = True
+    ) -> None:
+        """Counts the bytes kept for a request towards the budget."""
+        for largest in self.budget.hold(request, size, droppable):
+            largest.drop()
+
+    def forget_request(self, request_id: tuple[str, str, int]) -> None:
+        """Ends the retention of an outcome."""
+        request = self.remote_requests.pop(request_id, None)
+        if request is not None:
+            self.budget.release(request)
+
     def stop(self) -> None:
         """Closes all inbound connections, and cancels the background tasks."""
         if self.listener is not None:
--- a/tests/cover/test_mesh_http_client.py
+++ b/tests/cover/test_mesh_http_client.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import gc
+import weakref
 
 import pytest
 
+from auburnrock.engine.mesh import byte_budget
 from auburnrock.shells import clock
 from auburnrock.shells.mesh import http_client
 
@@ -56,7 +59,9 @@
     endless = EndlessServer(*ENDLESS[name])
     server = await asyncio.start_server(endless.answer, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
-    client = http_client.ConnectionPool(f"{host}:{port}", clock.exact_ms)
+    client = http_client.ConnectionPool(
+        f"{host}:{port}", clock.exact_ms, byte_budget.unlimited()
+    )
     connection = await client.acquire(1_000.0)
     data = http_client.encode_request(b"GET", b"/", [(b"host", b"a")], b"")
     async with asyncio.timeout(10.0):
@@ -65,8 +70,64 @@
         await endless.closed.wait()
     client.release(connection)
     assert not client.idle
-    kept = len(connection.body)
-    assert kept <= http_client.BODY_MAX_BYTES
+    assert not connection.body
+    assert not connection.headers
     # 16 MB more are in the buffers of the two ends.
     assert endless.sent < http_client.BODY_MAX_BYTES + (16 << 20)
     server.close()
+
+
+async def connect_to(endless, budget):
+    """Starts a server; returns it with a pool of connections to it."""
+    server = await asyncio.start_server(endless.answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    pool = http_client.ConnectionPool(f"{host}:{port}", clock.exact_ms, budget)
+    return server, pool
+
+
+async def receive(pool):
+    """Returns the error of an exchange, and a reference to its connection."""
+    connection = await pool.acquire(1_000.0)
+    data = http_client.encode_request(b"GET", b"/", [(b"host", b"a")], b"")
+    reason = ""
+    try:
+        await connection.exchange(data, lambda answer: True)
+    except http_client.ConnectionBrokenError as error:
+        reason = str(error)
+    pool.release(connection)
+    return reason, weakref.ref(connection)
+
+
+async def test_an_answer_that_was_cut_is_freed_without_a_garbage_collection():
+    """Guards against cut responses of 16 MB each that stay in memory.
+
+    A connection and its parser referred to each other, and a node collects
+    garbage rarely.
+    """
+    endless = EndlessServer(*ENDLESS["a body until the close"])
+    server, pool = await connect_to(endless, byte_budget.unlimited())
+    gc.disable()
+    try:
+        async with asyncio.timeout(10.0):
+            reason, connection = await receive(pool)
+            await endless.closed.wait()
+        assert "longer than" in reason
+        await asyncio.sleep(0.01)
+        assert connection() is None
+    finally:
+        gc.enable()
+    server.close()
+
+
+async def test_answers_without_end_stay_within_a_budget_all_together():
+    """Guards against a node that is killed for many responses at once."""
+    budget = byte_budget.ByteBudget(4 << 20)
+    endless = EndlessServer(*ENDLESS["a body until the close"])
+    server, pool = await connect_to(endless, budget)
+    async with asyncio.timeout(20.0):
+        received = await asyncio.gather(*(receive(pool) for _ in range(8)))
+    assert all(reason for reason, _ in received)
+    # Each response alone is below its own limit.
+    assert endless.sent < 8 * http_client.BODY_MAX_BYTES
+    assert budget.used_bytes == 0
+    server.close()
--- a/tests/cover/test_mesh_http_server.py
+++ b/tests/cover/test_mesh_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from auburnrock.engine.mesh import byte_budget
 from auburnrock.shells import clock
 from auburnrock.shells.mesh import http_server
 
@@ -19,7 +20,12 @@
     async def answer(request):
         return http_server.Response(200, [], LONG_BODY)
 
-    server = http_server.Server(answer, clock.exact_ms, lambda error: None)
+    server = http_server.Server(
+        answer,
+        clock.exact_ms,
+        lambda error: None,
+        byte_budget.unlimited(),
+    )
     await server.listen("127.0.0.1:0")
     address = server.listener.sockets[0].getsockname()
     loop = asyncio.get_running_loop()
@@ -41,9 +47,11 @@
     server.stop()
 
 
-async def start_server(handler):
+async def start_server(handler, budget, on_dropped=lambda size: None):
     """Starts a server; returns it with a connection to it."""
-    server = http_server.Server(handler, clock.exact_ms, lambda error: None)
+    server = http_server.Server(
+        handler, clock.exact_ms, lambda error: None, budget, on_dropped
+    )
     await server.listen("127.0.0.1:0")
     address = server.listener.sockets[0].getsockname()
     return server, await asyncio.open_connection(*address)
@@ -60,7 +68,7 @@
 
 async def test_trailers_of_a_request_have_a_limit():
     """Guards against a caller whose trailer lines exhaust the memory."""
-    server, (_, writer) = await start_server(echo_size)
+    server, (_, writer) = await start_server(echo_size, byte_budget.unlimited())
     writer.write(CHUNKED_REQUEST + b"0\r\n")
     limit = server.limits.header_bytes
     connection = next(iter(server.connections))
@@ -78,7 +86,7 @@
 
 async def test_trailers_are_no_headers_of_the_request():
     server, (reader, writer) = await start_server(
-        lambda request: answer_headers(request)
+        lambda request: answer_headers(request), byte_budget.unlimited()
     )
     writer.write(CHUNKED_REQUEST + b"1\r\na\r\n0\r\nx-caller: b\r\n\r\n")
     head = await reader.readuntil(b"\r\n\r\n")
@@ -91,3 +99,60 @@
 async def answer_headers(request):
     value = request.header(b"x-caller")
     return http_server.Response(200, [], value or b"none")
+
+
+async def test_requests_that_exceed_the_memory_together_are_rejected_unrun():
+    """Guards against a node that is killed for long bodies at once."""
+    ran = []
+    dropped = []
+
+    async def record(request):
+        ran.append(len(request.body))
+        return await echo_size(request)
+
+    budget = byte_budget.ByteBudget(1 << 20)
+    server, (reader, writer) = await start_server(
+        record, budget, dropped.append
+    )
+    address = server.listener.sockets[0].getsockname()
+    other_reader, other_writer = await asyncio.open_connection(*address)
+    head = b"POST / HTTP/1.1\r\nhost: a.example\r\ncontent-length: %d\r\n\r\n"
+    writer.write(head % (900 << 10) + bytes(800 << 10))
+    async with asyncio.timeout(5.0):
+        while budget.used_bytes < 800 << 10:
+            await asyncio.sleep(0.01)
+    other_writer.write(head % (300 << 10) + bytes(300 << 10))
+    assert (await other_reader.readline()).startswith(b"HTTP/1.1 200")
+    status = await reader.readuntil(b"\r\n\r\n")
+    assert status.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in status
+    assert ran == [300 << 10]
+    assert dropped == [800 << 10]
+    await asyncio.sleep(0.01)
+    assert budget.used_bytes == 0
+    writer.close()
+    other_writer.close()
+    server.stop()
+
+
+async def test_a_caller_that_does_not_read_is_dropped_for_memory():
+    budget = byte_budget.ByteBudget(24 << 20)
+
+    async def answer(request):
+        return http_server.Response(200, [], LONG_BODY)
+
+    server, (_, writer) = await start_server(answer, budget)
+    address = server.listener.sockets[0].getsockname()
+    readers = [writer]
+    writer.write(REQUEST)
+    for _ in range(2):
+        _, other = await asyncio.open_connection(*address)
+        readers.append(other)
+        other.write(REQUEST)
+    async with asyncio.timeout(5.0):
+        while len(server.connections) > 1:
+            await asyncio.sleep(0.01)
+    assert 0 < budget.used_bytes <= budget.limit_bytes
+    for each in readers:
+        each.close()
+    server.stop()
