Keep a farewell before it is acknowledged

Cause: a node that has just started acknowledged the farewell of a target that it did not know yet, and recorded nothing. A moment later a peer told the entry of the former process, and the target was resumed as ready. No heartbeat follows a farewell. The class is whatever is acknowledged before a node knows its state, or just before it dies: a farewell or a first draining heartbeat that only a process knew which was then killed was forgotten in the same way.

Ruled out: that a peer tells an old entry. It tells the last one that there was.

Change: farewells are recorded by the target's name, also of an unknown target. Before a node acknowledges that a target leaves, most of its connected neighbours confirm its entry; else the call is answered with 503 and comes again, for 2 s at most. No request is sent to the target meanwhile. A drain that the former process knew counts as over.

--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -12,6 +12,7 @@
 from auburnrock.engine.mesh import admission_queue
 from auburnrock.engine.mesh import byte_budget
 from auburnrock.engine.mesh import crash_suspects as suspects_module
+from auburnrock.engine.mesh import farewells as farewells_module
 from auburnrock.engine.mesh import hot_stripes as heat_module
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peer_messages
@@ -91,8 +92,12 @@
       drain_since_ms: when the target's drain began; None if it does not drain.
       service_time_ratio: estimate of the target's speed.
       keyed: whether the target's service is divided by key.
-      leaving: incarnation of the target that has said in a response, to this
-        process or a former one of this node, that it leaves; None without one.
+      leaving: incarnation of the target that has said in a response or in a
+        farewell, to this process or a former one of this node, that it leaves;
+        None without one.
+      farewells: farewells that this process has received.
+      former_drain: incarnation of the target whose heartbeats told the former
+        process of this node that it drains; None without one.
       closing: whether this process ends once the running requests have ended.
       resumed: incarnation of the target that the former process of this node
         knew, until the first heartbeat is received here; None after.
@@ -130,6 +135,8 @@
         self.closing = False
         self.resumed: model.Incarnation | None = None
         self.leaving: model.Incarnation | None = None
+        self.farewells = farewells_module.Farewells()
+        self.former_drain: model.Incarnation | None = None
         self.last_number = 0
         self.decision_futures: dict[int, asyncio.Future] = {}
         self.broken_connections: list[BrokenConnection] = []
@@ -168,6 +175,7 @@
         self.cold_until_ms = now_ms + beat.cold_ms
         if beat.state is model.TargetState.DRAINING:
             self.begin_drain("heartbeat")
+            self._count_former_drain()
         if is_new:
             self._resume_drain()
         self.dispatch_decisions(self.queue.start_queued(now_ms))
@@ -196,6 +204,9 @@
         )
         if self.target is not None or is_known or slots <= 0:
             return
+        if self.farewells.has_left(incarnation.target):
+            self.log.write("target_not_resumed", target=incarnation.target)
+            return
         self.resumed = incarnation
         self.service_time_ratio.restore(ratio)
         limit.restore(self.now_ms(), limit_per_s, limited_share)
@@ -228,10 +239,41 @@
     def _resume_drain(self) -> None:
         if self.target is None or self.drain_since_ms is not None:
             return
-        if self._incarnation(self.target) == self.leaving:
+        incarnation = self._incarnation(self.target)
+        if self.farewells.includes(incarnation):
+            self.leaving = incarnation
+        if incarnation == self.leaving:
             self.begin_drain("resumed")
             self.drain_since_ms -= self.settings.bounds.drain_ms
 
+    def resume_heartbeat_drain(self, incarnation: model.Incarnation) -> None:
+        """Resumes the drain of a target whose heartbeats said that it leaves.
+
+        The next heartbeat says whether it still does. Until then the target is
+        not used, also if an older entry made it known.
+        """
+        self.former_drain = incarnation
+        if self.resumed == incarnation:
+            self.target = None
+            self.resumed = None
+            self.log.write("target_not_resumed", target=incarnation.target)
+        self._count_former_drain()
+
+    def _count_former_drain(self) -> None:
+        """Counts the drain period as over if the former process began it."""
+        if self.target is None or self.drain_since_ms is None:
+            return
+        if self._incarnation(self.target) == self.former_drain:
+            self.former_drain = None
+            self.drain_since_ms -= self.settings.bounds.drain_ms
+
+    def on_farewell(self, unix_ms: int, target: str) -> None:
+        """Handles a farewell, whether or not the target is known here."""
+        self.farewells.record(unix_ms, target)
+        if self.target is not None and self.target.target == target:
+            self.leaving = self._incarnation(self.target)
+            self.begin_drain("farewell")
+
     def _incarnation(self, beat: model.Heartbeat) -> model.Incarnation:
         return model.Incarnation(self.settings.ip, beat.target, beat.started_ms)
 
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -97,6 +97,14 @@
 unless it knows its target. The peers' entry of its former process identifies
 the target."""
 
+LEAVE_CONFIRM_TIMEOUT_S = 0.4
+"""Time, in seconds, in which peers confirm that they know that the target
+leaves. Its call must be acknowledged within a second."""
+
+LEAVE_CONFIRM_MAX_MS = 2_000.0
+"""Time, in milliseconds, after which a leaving target is acknowledged without
+the confirmation of peers."""
+
 
 class Node:
     """Creates and connects all components of one process.
@@ -106,6 +114,10 @@
       stopping: whether a graceful shutdown has begun.
       configuration: newest version in force.
       budget: limit of the bytes that all connections keep.
+      leave_heard: the target that last said that it leaves, and when this
+        process first heard so.
+      acknowledged_leaving: incarnation of the target whose draining heartbeat
+        was acknowledged; None before.
     """
 
     def __init__(
@@ -208,6 +220,8 @@
         self.control = self.server(self.answer_target)
         self.scrapes = self.server(self.answer_scrape)
         self.configuration_item: coordination_store.Item | None = None
+        self.leave_heard = ("", 0.0)
+        self.acknowledged_leaving: model.Incarnation | None = None
         self.tasks: list[asyncio.Task] = []
         self._connect_parts()
 
@@ -464,6 +478,7 @@
             if entry.named_leaving:
                 self.executor.resume_drain(entry.incarnation)
             if entry.draining:
+                self.executor.resume_heartbeat_drain(entry.incarnation)
                 continue
             self.executor.resume_target(
                 entry.incarnation,
@@ -651,9 +666,9 @@
         if call is None:
             return http_server.Response(404, [])
         if call.deregisters:
-            known = self.executor.target
-            if known is not None and known.target == call.target:
-                self.executor.begin_drain("farewell")
+            self.executor.on_farewell(clock.wall_ms(), call.target)
+            if not await self.confirm_leaving(call.target):
+                return http_server.Response(503, [])
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         try:
             beat = self.protocol.decode_heartbeat(call.target, request.body)
@@ -664,6 +679,32 @@
             return http_server.Response(400, [])
         return await self.answer_heartbeat(request, beat)
 
+    async def confirm_leaving(self, target: str) -> bool:
+        """Tells peers that the target leaves, before it is acknowledged.
+
+        This process may be killed right after the acknowledgement; peers then
+        tell the next one. An isolated node acknowledges after
+        LEAVE_CONFIRM_MAX_MS, as the target leaves in any case.
+
+        Returns:
+          Whether to acknowledge.
+        """
+        now_ms = self.now_ms()
+        if self.leave_heard[0] != target:
+            self.leave_heard = (target, now_ms)
+        confirmed = await self.peers.confirm_own_entry(
+            self.own_entry(), LEAVE_CONFIRM_TIMEOUT_S
+        )
+        waited_ms = self.now_ms() - self.leave_heard[1]
+        acknowledged = confirmed or waited_ms >= LEAVE_CONFIRM_MAX_MS
+        self.log.write(
+            "leave_acknowledged" if acknowledged else "leave_withheld",
+            target=target,
+            confirmed=confirmed,
+            waited_ms=int(waited_ms),
+        )
+        return acknowledged
+
     async def answer_heartbeat(
         self, request: http_server.Request, beat: model.Heartbeat
     ) -> http_server.Response:
@@ -686,6 +727,12 @@
             )
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         self.executor.apply_heartbeat(beat)
+        is_leaving = beat.state is model.TargetState.DRAINING
+        if is_leaving and self.acknowledged_leaving != self.holder.incarnation:
+            incarnation = self.holder.incarnation
+            if not await self.confirm_leaving(beat.target):
+                return http_server.Response(503, [])
+            self.acknowledged_leaving = incarnation
         if not self.ownership.keyed:
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         if not self.has_grants() and not self.holder.draining:
--- a/src/auburnrock/shells/mesh/peer_connections.py
+++ b/src/auburnrock/shells/mesh/peer_connections.py
@@ -17,6 +17,7 @@
 from auburnrock.engine.mesh import byte_budget
 from auburnrock.engine.mesh import connection_state
 from auburnrock.engine.mesh import crash_suspects
+from auburnrock.engine.mesh import lease as lease_module
 from auburnrock.engine.mesh import membership
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peer_messages
@@ -339,6 +340,29 @@
             self.directory.digest() if is_neighbour else 0,
         )
 
+    async def confirm_own_entry(
+        self, entry: membership.Entry, timeout_s: float
+    ) -> bool:
+        """Publishes this node's entry.
+
+        Returns:
+          Whether most of the connected neighbours have confirmed it, or this
+          node is the only one.
+        """
+        self.publish_own_entry(entry)
+        links = [
+            link
+            for name in self.neighbours
+            if (link := self.links.get(name)) is not None and link.usable()
+        ]
+        if not links:
+            return self.members.keys() == {self.name}
+        update = peer_messages.MembershipUpdate([self.directory.own])
+        confirmed = await asyncio.gather(
+            *(link.confirm(update, timeout_s) for link in links)
+        )
+        return sum(confirmed) >= lease_module.majority(len(links))
+
     def on_handshake(self, link: peer_link.PeerLink) -> None:
         """Sends a neighbour the suspected requests that it may have missed."""
         if link.member.name in self.neighbours:
--- a/src/auburnrock/shells/mesh/peer_link.py
+++ b/src/auburnrock/shells/mesh/peer_link.py
@@ -300,6 +300,8 @@
             query_key = ("seal", message.name, message.revision)
             self.on_reply(query_key, message.left_ms)
         else:
+            if isinstance(message, peer_messages.Pong):
+                self.on_reply(("pong", message.sent_ms), message)
             self.delegate.handle_outcome(self, message)
 
     def on_progress(self) -> None:
@@ -462,6 +464,22 @@
                 self.pending_queries.pop(query_key, None)
         return None
 
+    async def confirm(
+        self, message: peer_messages.Message, timeout_s: float
+    ) -> bool:
+        """Sends a message; returns whether the other node has handled it.
+
+        Messages of a connection are handled in order, so the reply to a ping
+        that follows confirms it.
+        """
+        connection = self.connection
+        if connection is None:
+            return False
+        connection.send(message)
+        ping = self.delegate.ping_for(self)
+        pong = await self.query(ping, ("pong", ping.sent_ms), timeout_s)
+        return pong is not None and self.connection is connection
+
     async def wait_for_handshake(self) -> bool:
         """Waits for the handshake; returns False if connecting fails."""
         while not (self.connection is not None and self.handshake_done):
--- a/src/auburnrock_standins/mesh_target.py
+++ b/src/auburnrock_standins/mesh_target.py
@@ -83,6 +83,7 @@
     Attributes:
       name: name of the target.
       executed_requests: requests that the target began to execute.
+      acknowledged: number of acknowledged heartbeats.
       holds: held ranges by first key.
       behaviour: how the target responds.
       replies_without_holds: number of heartbeat replies without holds.
@@ -108,6 +109,7 @@
         self.slots = slots
         self.started_ms = time.time_ns() // 1_000_000
         self.sequence = 0
+        self.acknowledged = 0
         self.state = "ready"
         self.executed_requests: list[ExecutedRequest] = []
         self.holds: dict[int, Hold] = {}
@@ -175,6 +177,10 @@
             data=msgspec.msgpack.encode(message),
             timeout=aiohttp.ClientTimeout(total=1.0),
         ) as response:
+            if response.status != 200:
+                # Not acknowledged; the next heartbeat repeats it.
+                return
+            self.acknowledged += 1
             reply = msgspec.msgpack.decode(await response.read())
         del self.freed[: len(freed)]
         if "holds" in reply:
@@ -182,6 +188,26 @@
         else:
             self.replies_without_holds += 1
 
+    async def send_one_heartbeat(self) -> bool:
+        """Sends a heartbeat; returns if it is acknowledged."""
+        before = self.acknowledged
+        async with aiohttp.ClientSession() as session:
+            await self.send_heartbeat(session)
+        return self.acknowledged > before
+
+    async def say_farewell(self) -> bool:
+        """Ends the heartbeats and deregisters; returns if it is acknowledged.
+
+        The target continues to serve.
+        """
+        self.task.cancel()
+        url = f"http://{self.control}/auburnrock/instances/{self.name}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.delete(url) as response,
+        ):
+            return response.status == 200
+
     def apply_reply(self, reply: dict, sent_s: float) -> None:
         """Holds the ranges of a reply and frees all others.
 
