Read the former process's entry before it is replaced

Cause: a new process that had read the store and heard its target before a peer connected asked no peer what its former process had told, and published its own entry, which replaced the former one everywhere.

Change: a new process asks on both directions of a connection for the entry of its former process, and publishes its own after it, or a second after its start.

--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -94,8 +94,8 @@
 
 SELF_ENTRY_DELAY_MS = 1_000.0
 """Time, in milliseconds, for which a new process does not gossip its own entry
-unless it knows its target. The peers' entry of its former process identifies
-the target."""
+unless it knows its target and that of its former process. The peers' entry of
+its former process identifies the target."""
 
 LEAVE_CONFIRM_TIMEOUT_S = 0.4
 """Time, in seconds, in which peers confirm that they know that the target
@@ -114,6 +114,8 @@
       stopping: whether a graceful shutdown has begun.
       configuration: newest version in force.
       budget: limit of the bytes that all connections keep.
+      has_former_entry: whether a peer has sent the entry that the former
+        process of this node published.
       leave_heard: the target that last said that it leaves, and when this
         process first heard so.
       acknowledged_leaving: incarnation of the target whose draining heartbeat
@@ -220,6 +222,7 @@
         self.control = self.server(self.answer_target)
         self.scrapes = self.server(self.answer_scrape)
         self.configuration_item: coordination_store.Item | None = None
+        self.has_former_entry = False
         self.leave_heard = ("", 0.0)
         self.acknowledged_leaving: model.Incarnation | None = None
         self.tasks: list[asyncio.Task] = []
@@ -259,7 +262,8 @@
         self.peers.on_ping = self.on_ping
         self.peers.items = self.items
         self.peers.has_read = self.has_read
-        self.peers.asks_for_snapshot = self.store_gossip.should_request_snapshot
+        self.peers.asks_for_snapshot = self.asks_for_snapshot
+        self.peers.former_entry_is_due = self.lacks_former_entry
         self.peers.on_store_update = self.store_gossip.on_store_update
         self.peers.on_table_update = self.store_gossip.on_table_update
         self.peers.on_peer_without_record = (
@@ -324,10 +328,8 @@
         now_ms = self.now_ms()
         self.executor.expire_overdue()
         self.peers.tick()
-        if (
-            not self.is_bootstrapping()
-            or now_ms - self.started_ms > SELF_ENTRY_DELAY_MS
-        ):
+        is_complete = not (self.is_bootstrapping() or self.lacks_former_entry())
+        if is_complete or now_ms - self.started_ms > SELF_ENTRY_DELAY_MS:
             self.peers.publish_own_entry(self.own_entry())
         if now_ms - self.flushed_ms >= LOG_FLUSH_INTERVAL_MS:
             self.flushed_ms = now_ms
@@ -439,6 +441,15 @@
         has_all = known and self.ownership.witness.has_read_records
         return not has_all or self.executor.target is None
 
+    def lacks_former_entry(self) -> bool:
+        """Whether peers may know an entry of this node's former process.
+
+        The entry of this process replaces that one, so it is read before.
+        """
+        if self.settings.is_bootstrap or self.has_former_entry:
+            return False
+        return self.now_ms() - self.started_ms <= SELF_ENTRY_DELAY_MS
+
     def items(self) -> list[tuple[str, bytes, int]]:
         """Returns the store's items as known on this node."""
         items = self.ownership.cache.items()
@@ -455,6 +466,13 @@
             return None
         return item.key, item.value, item.revision
 
+    def asks_for_snapshot(self) -> bool:
+        """Whether a peer that has just connected should send a snapshot."""
+        is_due = self.store_gossip.should_request_snapshot()
+        # A peer sends only the former entry to a process that has read the
+        # store.
+        return is_due or (self.has_read() and self.lacks_former_entry())
+
     def on_snapshot(self, snapshot: peer_messages.Snapshot) -> None:
         """Applies those items of a peer's snapshot not yet read from the store.
 
@@ -473,6 +491,7 @@
         for entry in snapshot.entries:
             if entry.name != self.settings.ip:
                 continue
+            self.has_former_entry = True
             if entry.incarnation is None:
                 continue
             if entry.named_leaving:
--- a/src/auburnrock/shells/mesh/peer_connections.py
+++ b/src/auburnrock/shells/mesh/peer_connections.py
@@ -211,6 +211,8 @@
       on_item_request: returns a long item, or its change, for a neighbour.
       has_read: whether this process has read the store.
       asks_for_snapshot: whether a connecting peer should send a snapshot.
+      former_entry_is_due: whether peers may know an entry of this node's former
+        process.
       on_snapshot: handles a snapshot.
       on_store_update: handles changes of the store from a node.
       on_table_update: handles a change of a key table from a node.
@@ -282,6 +284,7 @@
         ]
         self.has_read: Callable[[], bool]
         self.asks_for_snapshot: Callable[[], bool]
+        self.former_entry_is_due: Callable[[], bool]
         self.on_store_update: Callable[[str, peer_messages.StoreUpdate], None]
         self.on_table_update: Callable[[str, peer_messages.TableUpdate], None]
         self.on_item_available: Callable[[peer_messages.ItemAvailable], bool]
@@ -340,6 +343,10 @@
             self.directory.digest() if is_neighbour else 0,
         )
 
+    def lacks_former_entry(self) -> bool:
+        """Whether peers may know an entry of this node's former process."""
+        return self.former_entry_is_due()
+
     async def confirm_own_entry(
         self, entry: membership.Entry, timeout_s: float
     ) -> bool:
@@ -600,20 +607,26 @@
         self, hello: peer_messages.Hello
     ) -> peer_messages.Snapshot:
         """Returns the items and entries that the connected node lacks."""
-        former = self.directory.entries.get(hello.name)
         if hello.has_read_store:
-            return peer_messages.Snapshot([], [former] if former else [])
+            return self.former_entry_of(hello.name)
         entries = list(self.directory.entries.values())
         return peer_messages.Snapshot(
             self.items(), [*entries, self.directory.own]
         )
 
+    def former_entry_of(self, name: str) -> peer_messages.Snapshot:
+        """Returns the entry that a node's former process has published."""
+        former = self.directory.entries.get(name)
+        return peer_messages.Snapshot([], [former] if former else [])
+
     def handle_outcome(
         self, link: peer_link.PeerLink, message: peer_messages.Message
     ) -> None:
         """Handles a message on a link that is neither outcome nor reply."""
         if isinstance(message, peer_messages.Pong):
             self.on_pong(link.member.name, message)
+        elif isinstance(message, peer_messages.Snapshot):
+            self.on_snapshot(message)
         elif isinstance(message, peer_messages.DigestRequest):
             entries = self.directory.differing(message.bucket_digests)
             if entries:
@@ -668,6 +681,8 @@
             inbound.last_received_ms = self.now_ms()
             self.inbound[connection] = inbound
             connection.send(self.hello(self.asks_for_snapshot()))
+            if message.asks_for_snapshot:
+                connection.send(self.former_entry_of(message.name))
             if message.name not in self.members:
                 self.on_peer_without_record(message.name, connection)
             return
--- a/src/auburnrock/shells/mesh/peer_link.py
+++ b/src/auburnrock/shells/mesh/peer_link.py
@@ -70,6 +70,10 @@
     ) -> peer_messages.Snapshot:
         """Returns the items and entries that the connected node lacks."""
 
+    def lacks_former_entry(self) -> bool:
+        """Whether peers may know an entry of this node's former process."""
+        return False
+
     @abc.abstractmethod
     def on_handshake(self, link: "PeerLink") -> None:
         """Handles the completed handshake of a link's connection."""
@@ -222,7 +226,7 @@
         self.handshake_done = False
         self.connection = connection
         self.state.on_opened()
-        connection.send(self.delegate.hello(False))
+        connection.send(self.delegate.hello(self.delegate.lacks_former_entry()))
         if self.state.keep_open:
             self.ping()
 
--- a/tests/cover/test_mesh_leaving.py
+++ b/tests/cover/test_mesh_leaving.py
@@ -126,3 +126,30 @@
     assert host.node.executor.drain_since_ms is not None
     monkeypatch.setattr(node_module, "LEAVE_CONFIRM_MAX_MS", 0.0)
     assert await host.target.say_farewell()
+
+
+async def test_a_restarted_node_learns_of_its_former_process_in_any_order(
+    fleet, monkeypatch
+):
+    """Guards against a node that has read the store and heard its target
+    before a peer connects: it told its own entry, which replaced the former.
+    """
+    host = await leaver(fleet, 2)
+    host.target.behaviour.limit = "20"
+    for each in fleet.hosts:
+        sending = (fleet.send_request(each, "/check/one") for _ in range(20))
+        await asyncio.gather(*sending)
+    await asyncio.sleep(0.3)
+    others = [each for each in fleet.hosts if each is not host]
+    assert any(
+        each.node.peers.directory.entries[host.ip].limit_per_s == 20.0
+        for each in others
+    )
+    await host.kill_node()
+    for each in others:
+        link = each.node.peers.links[host.ip]
+        # The new process hears all else before this peer connects.
+        monkeypatch.setattr(link, "step", lambda: True)
+    await host.start_node()
+    limit = host.node.executor.queue.rate_limit
+    await fleet.wait_until(lambda: limit.per_s == 20.0, limit_s=3.0)
