--- a/src/auburnrock/programs/mesh_node.py
+++ b/src/auburnrock/programs/mesh_node.py
@@ -50,6 +50,8 @@
 def run() -> None:
     """Runs the program and exits with its status."""
     code = uvloop.run(serve())
+    # The event loop has restored the default, which ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.stdout.flush()
     sys.exit(code)
 
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -150,6 +150,53 @@
         """Checks the holds of a target that has just applied a reply."""
 
 
+def settings_text(ip: str, service: str, at: dict[str, str]) -> str:
+    """Returns a settings file as the platform writes it.
+
+    Args:
+      ip: address of the host.
+      service: service of the target beside the node.
+      at: addresses of the host by kind.
+    """
+    peer = int(at["peer"].rpartition(":")[2])
+    return json.dumps(
+        {
+            "self_node": {
+                "node_id": f"host-{ip}",
+                "ip": ip,
+                "zone": f"zone-{ip[-1]}",
+                "limits": {"memory_mb": 300, "link_mbps": 1000.0},
+                "app_address": at["target"],
+                "service": service,
+            },
+            "network": {
+                "listen": {
+                    "outbound": at["caller"],
+                    "ready": at["ready"],
+                    "control": at["control"],
+                },
+                "internal_port_range": [peer, peer + 1],
+                "zones": {},
+            },
+            "platform": {
+                "heartbeat": f"{int(mesh_fleet.HEARTBEAT_S * 1_000)}ms",
+                "platform": {"address": at["store"]},
+            },
+            "terms": {
+                "bounds": {
+                    "drain": "2000ms",
+                    "grace": "6s",
+                    "config_apply": "2000ms",
+                    "hold_max": "10000ms",
+                    "retry_budget_ratio": 0.2,
+                    "budget_extra_tries": 60,
+                    "budget_window": "10s",
+                }
+            },
+        }
+    )
+
+
 class Host(mesh_fleet.Host):
     """A host whose node runs as a separate process."""
 
@@ -171,44 +218,7 @@
 
     def settings_text(self) -> str:
         """Returns the settings file as the platform writes it."""
-        at = self.addresses
-        peer = int(at["peer"].rpartition(":")[2])
-        return json.dumps(
-            {
-                "self_node": {
-                    "node_id": f"host-{self.ip}",
-                    "ip": self.ip,
-                    "zone": f"zone-{self.ip[-1]}",
-                    "limits": {"memory_mb": 300, "link_mbps": 1000.0},
-                    "app_address": at["target"],
-                    "service": self.service,
-                },
-                "network": {
-                    "listen": {
-                        "outbound": at["caller"],
-                        "ready": at["ready"],
-                        "control": at["control"],
-                    },
-                    "internal_port_range": [peer, peer + 1],
-                    "zones": {},
-                },
-                "platform": {
-                    "heartbeat": f"{int(mesh_fleet.HEARTBEAT_S * 1_000)}ms",
-                    "platform": {"address": at["store"]},
-                },
-                "terms": {
-                    "bounds": {
-                        "drain": "2000ms",
-                        "grace": "6s",
-                        "config_apply": "2000ms",
-                        "hold_max": "10000ms",
-                        "retry_budget_ratio": 0.2,
-                        "budget_extra_tries": 60,
-                        "budget_window": "10s",
-                    }
-                },
-            }
-        )
+        return settings_text(self.ip, self.service, self.addresses)
 
     async def start_node(self) -> None:
         """Starts the node, without waiting until it serves."""
