Read the settings again while they are being written

Reproduced with real processes: a start beside a half-written settings file ends with 2 at once.

Cause: the file is read once; a change of the settings may be written just then.

Change: the start reads it again for two seconds, and reports each failure.

--- a/src/auburnrock/programs/mesh_node.py
+++ b/src/auburnrock/programs/mesh_node.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from auburnrock.engine.mesh import model
 from auburnrock.platform import protocol
 from auburnrock.platform import store_client as platform_store
 from auburnrock.shells import clock
@@ -19,6 +20,31 @@
 reference cycles, and the default of 700 collects several times a request."""
 
 
+SETTINGS_TIMEOUT_S = 2.0
+"""Time in which a settings file becomes readable that is being written."""
+
+SETTINGS_RETRY_S = 0.05
+"""Interval between two attempts to read the settings file."""
+
+
+async def read_settings(dialect: protocol.PlatformProtocol) -> model.Settings:
+    """Reads the settings file, which the platform may be writing now.
+
+    Raises:
+      DecodeError: the file is still unreadable after SETTINGS_TIMEOUT_S.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + SETTINGS_TIMEOUT_S
+    while True:
+        try:
+            return dialect.load_settings()
+        except wire_protocol.DecodeError as error:
+            if loop.time() >= end_s:
+                raise
+            print(f"event=settings_unreadable error={str(error)!r}", flush=True)
+        await asyncio.sleep(SETTINGS_RETRY_S)
+
+
 async def serve() -> int:
     """Runs the node until a signal stops it.
 
@@ -26,7 +52,7 @@
     """
     dialect = protocol.PlatformProtocol()
     try:
-        settings = dialect.load_settings()
+        settings = await read_settings(dialect)
     except wire_protocol.DecodeError as error:
         print(f"event=start_failed error={str(error)!r}", flush=True)
         return 2
