Refuse what outlasts a stop once the node stops serving

Cause: a stopping node closes its listener and idle connections, but it went on reading requests on connections with a request at work, and ended 0.7 s before the end of the grace period with these at work.

Ruled out: the listener and the readiness check, which end in time.

Change: from then on a request whose deadline is later than the end of the process gets 503 at once. It has not run, and other nodes serve it. Others are served.

--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import math
 import random
 
 from auburnrock import errors
@@ -47,6 +48,9 @@
 NO_OWNER_RETRY_MS = 400.0
 """Retry delay sent to callers when the owner of their key is lost."""
 
+STOPPING_RETRY_MS = 50.0
+"""Retry delay sent to callers of a node that stops; other nodes serve them."""
+
 DECLINED_NODES_MAX = 3
 """A request without a key is refused once it was sent more often than this."""
 
@@ -140,6 +144,7 @@
       entries: directory entries of all nodes, by name.
       groups: targets by service.
       retry_budgets: retry budgets by service.
+      ends_ms: when this process stops, once it is stopping.
       in_flight: requests that were sent to a node and have no outcome, by
         number.
       execute: runs a request at the target of the named node.
@@ -173,6 +178,7 @@
         self.round_robin = routing.WeightedRoundRobin()
         self.usual_waits_ms: dict[str, float] = {}
         self.started_ms = now_ms()
+        self.ends_ms = math.inf
         self.numbers = 0
         self.in_flight: dict[int, Attempt] = {}
         self.rng = random.Random()
@@ -236,6 +242,11 @@
                 head, errors.ErrorKind.UNKNOWN_SERVICE, 0.0
             )
         attempt = self._attempt(request, head, route)
+        if attempt.outcome_until_ms > self.ends_ms:
+            # Another node can serve it; here it might be cut.
+            return self._refuse_early(
+                head, errors.ErrorKind.DRAINING, STOPPING_RETRY_MS
+            )
         service = self.configuration.services.get(attempt.service)
         attempt.keyed = service is not None and service.keyed
         if attempt.keyed and head.key < 0:
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -826,6 +826,7 @@
         # New requests are refused from here on, as the end would interrupt
         # them.
         self.executor.closing = True
+        self.dispatcher.ends_ms = began_ms + limit_ms
         self.peers.announce_stop()
         self.callers.stop()
         await asyncio.sleep(STOP_NOTICE_DELAY_S)
