Answer all pipelined requests, with 64 at once

Cause: the 64th request marked the connection as ending, but requests in the same bytes were parsed and started; the 64th response closed the connection.

Ruled out: the targets, which had run them.

Change: requests behind the 64 that run wait and start in turn; the connection stays open. No more is read at 1,024 unanswered ones. A fault in one request is answered with 502 and ends no other on the connection.

--- a/src/auburnrock/shells/mesh/http_server.py
+++ b/src/auburnrock/shells/mesh/http_server.py
@@ -14,7 +14,12 @@
 from auburnrock.engine.mesh import byte_budget
 
 PIPELINE_MAX = 64
-"""Largest number of concurrent requests of one connection."""
+"""Largest number of requests of one connection that run at once; those behind
+them wait."""
+
+PIPELINE_QUEUE_MAX = 1_024
+"""Number of unanswered requests of one connection at which no more is read. The
+end of the connection is not noticed meanwhile."""
 
 SWEEP_INTERVAL_S = 0.25
 """Interval between two sweeps for idle and slow connections."""
@@ -120,15 +125,22 @@
 
     Attributes:
       connection: the connection.
+      request: the request; None once its handler has started.
       response: the response; None before it is known.
       is_last: whether the connection is closed after the response.
-      task: task that runs the handler; None after its end.
+      task: task that runs the handler; None before and after.
     """
 
-    __slots__ = ("connection", "is_last", "response", "task")
+    __slots__ = ("connection", "is_last", "request", "response", "task")
 
-    def __init__(self, connection: "Connection", last: bool):
+    def __init__(
+        self,
+        connection: "Connection",
+        last: bool,
+        request: Request | None = None,
+    ):
         self.connection = connection
+        self.request = request
         self.response: Response | None = None
         self.is_last = last
         self.task: asyncio.Task | None = None
@@ -146,6 +158,8 @@
         two refer to each other, and would wait for a garbage collection.
       budget: limit of the bytes that all connections keep.
       size: bytes received of the head and the trailers of a request.
+      paused: whether the write buffer is full.
+      reading_paused: whether no more is read, as enough requests wait.
       unsent: holds the bytes of the write buffer in the budget.
     """
 
@@ -159,6 +173,7 @@
         self.exchanges: list[Exchange] = []
         self.unsent = Exchange(self, False)
         self.paused = False
+        self.reading_paused = False
         self.ending = False
         self.reading_since_ms = 0.0
         self.idle_since_ms = server.now_ms()
@@ -302,7 +317,11 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Starts the handler of a complete request."""
+        """Queues a complete request behind those before it."""
+        if self.ending:
+            # It came with the last one, and is not answered.
+            self.reset()
+            return
         request = Request(
             self.parser.get_method(),
             self.path,
@@ -310,7 +329,8 @@
             bytes(self.body),
             self.received_ms,
         )
-        exchange = Exchange(self, not self.parser.should_keep_alive())
+        is_last = not self.parser.should_keep_alive()
+        exchange = Exchange(self, is_last, request)
         self.exchanges.append(exchange)
         self.reset()
         # A request that is being handled cannot be dropped any more: it may
@@ -320,12 +340,26 @@
         ):
             largest.drop()
         self.reading_since_ms = 0.0
-        if exchange.is_last or len(self.exchanges) >= PIPELINE_MAX:
-            exchange.is_last = True
-            self.ending = True
-        exchange.task = self.server.loop.create_task(
-            self.run(exchange, request)
-        )
+        self.ending = is_last
+        self.start_handlers()
+
+    def start_handlers(self) -> None:
+        """Starts the handlers of the first PIPELINE_MAX requests."""
+        if self.transport.is_closing():
+            return
+        for exchange in self.exchanges[:PIPELINE_MAX]:
+            request, exchange.request = exchange.request, None
+            if request is not None:
+                exchange.task = self.server.loop.create_task(
+                    self.run(exchange, request)
+                )
+        is_full = len(self.exchanges) >= PIPELINE_QUEUE_MAX
+        if is_full and not self.reading_paused:
+            self.reading_paused = True
+            self.transport.pause_reading()
+        elif self.reading_paused and not is_full:
+            self.reading_paused = False
+            self.transport.resume_reading()
 
     async def run(self, exchange: Exchange, request: Request) -> None:
         """Runs the handler of one request."""
@@ -335,7 +369,7 @@
             raise
         except Exception as error:
             self.server.on_fault(error)
-            exchange.response = Response(502, [], close=True)
+            exchange.response = Response(502, [])
         exchange.task = None
         self.budget.release(exchange)
         self.flush()
@@ -359,7 +393,7 @@
             exchange = self.exchanges[0]
             response = exchange.response
             if response is None:
-                return
+                break
             self.exchanges.pop(0)
             self.budget.release(exchange)
             response.close = response.close or exchange.is_last
@@ -372,6 +406,7 @@
             if response.close:
                 self.close()
                 return
+        self.start_handlers()
 
     def close(self) -> None:
         """Closes the connection once the write buffer has been sent."""
--- a/tests/cover/test_mesh_http_server.py
+++ b/tests/cover/test_mesh_http_server.py
@@ -156,3 +156,96 @@
     for each in readers:
         each.close()
     server.stop()
+
+
+async def read_bodies(reader):
+    """Returns the bodies of all responses until the connection ends."""
+    bodies = []
+    while True:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return bodies
+        length = head.split(b"content-length: ")[1].split(b"\r\n")[0]
+        bodies.append(await reader.readexactly(int(length)))
+
+
+def numbered(number, last=False):
+    close = b"connection: close\r\n" if last else b""
+    return b"GET /%d HTTP/1.1\r\nhost: a.example\r\n%s\r\n" % (number, close)
+
+
+async def test_all_requests_that_are_sent_at_once_are_answered_in_order():
+    """Guards against requests behind the 64th that run and get no answer."""
+    count = 2 * http_server.PIPELINE_QUEUE_MAX
+    running = 0
+    most = 0
+
+    async def answer(request):
+        nonlocal running, most
+        running += 1
+        most = max(most, running)
+        await asyncio.sleep(0.001)
+        running -= 1
+        return http_server.Response(200, [], request.path[1:])
+
+    server, (reader, writer) = await start_server(
+        answer, byte_budget.unlimited()
+    )
+    for number in range(count):
+        writer.write(numbered(number, last=number == count - 1))
+    bodies = await asyncio.wait_for(read_bodies(reader), 20.0)
+    assert bodies == [b"%d" % number for number in range(count)]
+    assert most == http_server.PIPELINE_MAX
+    server.stop()
+
+
+async def test_a_request_behind_one_that_closes_the_connection_does_not_run():
+    ran = []
+
+    async def answer(request):
+        ran.append(request.path)
+        return http_server.Response(200, [], b"")
+
+    server, (reader, writer) = await start_server(
+        answer, byte_budget.unlimited()
+    )
+    writer.write(numbered(1, last=True) + numbered(2))
+    await asyncio.wait_for(read_bodies(reader), 5.0)
+    assert ran == [b"/1"]
+    server.stop()
+
+
+async def test_requests_that_wait_do_not_run_once_the_caller_has_left():
+    ran = []
+
+    async def answer(request):
+        ran.append(request.path)
+        await asyncio.sleep(0.3)
+        return http_server.Response(200, [], b"")
+
+    server, (_, writer) = await start_server(answer, byte_budget.unlimited())
+    for number in range(100):
+        writer.write(numbered(number))
+    await writer.drain()
+    await asyncio.sleep(0.1)
+    writer.transport.abort()
+    await asyncio.sleep(0.5)
+    assert len(ran) == http_server.PIPELINE_MAX
+    server.stop()
+
+
+async def test_a_fault_of_one_request_ends_no_other_on_its_connection():
+    async def answer(request):
+        if request.path == b"/0":
+            raise RuntimeError
+        await asyncio.sleep(0.05)
+        return http_server.Response(200, [], request.path)
+
+    server, (reader, writer) = await start_server(
+        answer, byte_budget.unlimited()
+    )
+    writer.write(numbered(0) + numbered(1, last=True))
+    bodies = await asyncio.wait_for(read_bodies(reader), 5.0)
+    assert bodies == [b"", b"/1"]
+    server.stop()
