Answer a request that offers an upgrade once

Cause: the parser reports the offer after the request has started; the server took it for unreadable input. A body behind it was not read, and the request ran.

Change: such a request is the last of its connection and gets one response; with a body it gets 400 and does not run.

Evidence: two tests of test_mesh_http_server.py failed before and pass.

--- a/src/auburnrock/shells/mesh/http_server.py
+++ b/src/auburnrock/shells/mesh/http_server.py
@@ -235,7 +235,10 @@
             self.size += len(data)
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            # The request that offers it was the last one, and is answered.
+            return
+        except httptools.HttpParserError:
             self.reject(self.error_status or 400)
             return
         if self.ending:
@@ -305,6 +308,10 @@
             return 400
         if lengths and not lengths[0].isdigit():
             return 400
+        has_body = bool(codings or (lengths and int(lengths[0])))
+        if self.parser.should_upgrade() and has_body:
+            # The parser takes the body for bytes of the other protocol.
+            return 400
         if lengths and int(lengths[0]) > self.server.limits.body_bytes:
             return 413
         return 0
@@ -329,7 +336,10 @@
             bytes(self.body),
             self.received_ms,
         )
-        is_last = not self.parser.should_keep_alive()
+        # No upgrade is accepted, and the parser reads nothing after the offer.
+        is_last = (
+            self.parser.should_upgrade() or not self.parser.should_keep_alive()
+        )
         exchange = Exchange(self, is_last, request)
         self.exchanges.append(exchange)
         self.reset()
--- a/tests/cover/test_mesh_http_server.py
+++ b/tests/cover/test_mesh_http_server.py
@@ -249,3 +249,36 @@
     bodies = await asyncio.wait_for(read_bodies(reader), 5.0)
     assert bodies == [b"", b"/1"]
     server.stop()
+
+
+UPGRADE = b"connection: upgrade\r\nupgrade: h2c\r\n"
+
+
+async def test_a_request_that_offers_an_upgrade_gets_one_answer():
+    """Guards against a second response, 400, that the caller takes for the
+    response to its next request.
+    """
+    server, (reader, writer) = await start_server(
+        echo_size, byte_budget.unlimited()
+    )
+    writer.write(b"GET / HTTP/1.1\r\nhost: a.example\r\n%s\r\n" % UPGRADE)
+    assert await asyncio.wait_for(read_bodies(reader), 5.0) == [b"0"]
+    server.stop()
+
+
+async def test_a_body_behind_an_offered_upgrade_is_no_request():
+    ran = []
+
+    async def record(request):
+        ran.append(request)
+        return http_server.Response(200, [], b"")
+
+    server, (reader, writer) = await start_server(
+        record, byte_budget.unlimited()
+    )
+    head = b"POST / HTTP/1.1\r\nhost: a.example\r\ncontent-length: %d\r\n%s\r\n"
+    writer.write(head % (len(REQUEST), UPGRADE) + REQUEST)
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert not ran
+    server.stop()
