Let the soak see processes that end by themselves and requests that are cut

The soak restarted every process that had ended, and did not look at requests whose connection ended. It starts the program that the platform starts, fails for an end that it has not caused, and for a request that a target executed and that got no response while its node was neither killed nor frozen.

--- a/tests/common/mesh_broken.py
+++ b/tests/common/mesh_broken.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+import os
 import sys
 
 import msgspec
@@ -148,6 +149,20 @@
     )
 
 
+def end_at_a_reload() -> None:
+    """Ends at a SIGHUP, as a process without a handler does."""
+    node.Node.reload = lambda self: os._exit(1)
+
+
+def cut_at_a_stop() -> None:
+    """Ends at once when it is stopped, whatever is at work."""
+
+    async def stop(self):
+        self.stopped.set()
+
+    node.Node.stop = stop
+
+
 RULES: dict[str, Callable[[], None]] = {
     rule.__name__: rule
     for rule in (
@@ -157,6 +172,8 @@
         take_any_configuration,
         answer_with_the_one_before,
         leave_lost_keys_alone,
+        end_at_a_reload,
+        cut_at_a_stop,
     )
 }
 
--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -43,6 +43,9 @@
 TOKENS_SHOWN = 5
 """Maximum number of reported token violations; one fault affects many keys."""
 
+PROGRAM = pathlib.Path(__file__).resolve().parents[2] / "src" / "mesh_node.py"
+"""The program that the platform starts."""
+
 CALLERS = 12
 DEADLINE_MS = 1_500
 
@@ -58,6 +61,8 @@
       status: status of the response; 0 if no complete response was received.
       body: body of the response.
       took_s: time until the request ended, in seconds; 0 before.
+      cut: whether the connection ended without a complete response, while the
+        host was neither killed nor frozen.
     """
 
     name: str
@@ -67,6 +72,7 @@
     status: int = 0
     body: bytes = b""
     took_s: float = 0.0
+    cut: bool = False
 
     def kind(self) -> str:
         """Returns the start of the path, which determines the route."""
@@ -91,7 +97,7 @@
         self,
         seed: int,
         deployment: processes.Deployment,
-        program: tuple[str, ...] = ("-m", "auburnrock.programs.mesh_node"),
+        program: tuple[str, ...] = (str(PROGRAM),),
         restores: bool = False,
         faulty_targets: bool = False,
     ):
@@ -194,13 +200,15 @@
         host = self.hosts[fault.host]
         switches = self.store.switches
         if fault.kind == "kill":
-            host.process.kill()
+            self.kill(host)
         elif fault.kind == "terminate":
+            host.ends_expected.add(host.process.popen.pid)
             host.process.send(signal.SIGTERM)
         elif fault.kind == "reload":
             host.process.send(signal.SIGHUP)
         elif fault.kind == "freeze":
             frozen = host.process
+            host.disturbances += 1
             frozen.freeze()
             await asyncio.sleep(fault.for_s)
             frozen.thaw()
@@ -252,16 +260,28 @@
                 await host.start_target()
         elif fault.kind == mesh_soak_faults.STORE_RESTORED:
             for each in self.hosts if fault.kills_all_nodes else ():
-                each.process.kill()
+                self.kill(each)
             await self.store.run_restore_outage(fault.age_s, fault.for_s)
         elif fault.kind == "configure":
             self.version += 1
             self.configure()
 
+    def kill(self, host: mesh_soak_faults.Host) -> None:
+        """Kills the node of a host."""
+        host.ends_expected.add(host.process.popen.pid)
+        host.disturbances += 1
+        host.process.kill()
+
     async def restart_on_exit(self, host: mesh_soak_faults.Host) -> None:
         """Restarts a node whenever it has ended, as the platform does."""
         while True:
-            if host.process.popen.poll() is not None:
+            process = host.process.popen
+            if process.poll() is not None:
+                if process.pid not in host.ends_expected:
+                    self.fail(
+                        f"{host.ip} ended by itself, status"
+                        f" {process.returncode}"
+                    )
                 await asyncio.sleep(RESTART_S)
                 await host.start_node()
             await asyncio.sleep(0.05)
@@ -292,6 +312,7 @@
         host = self.hosts[attempt.host]
         start = host.node_starts
         known = host.latest_served_version
+        disturbances = host.disturbances
         headers = {
             "Host": "a.example",
             "Auburnrock-Attempt-Id": attempt.name,
@@ -310,7 +331,11 @@
             ) as response:
                 attempt.body = await response.read()
                 attempt.status = response.status
-        except (aiohttp.ClientError, TimeoutError):
+        except TimeoutError:
+            await asyncio.sleep(0.1)
+            return
+        except aiohttp.ClientError:
+            attempt.cut = host.disturbances == disturbances
             await asyncio.sleep(0.1)
             return
         self.check_answer(attempt, host, start, known)
@@ -377,9 +402,10 @@
             self.fail(f"{host.ip} returned to a version before {version}")
 
     def check_requests(self) -> None:
-        """Checks the executions of non-idempotent requests.
+        """Checks the executions of requests.
 
-        Each was executed at most once, and never if it was refused.
+        None that was executed ends without a response. One that is not
+        idempotent was executed at most once, and never if it was refused.
         """
         runs: dict[str, int] = {}
         for target in self.targets:
@@ -387,6 +413,8 @@
                 runs[run.attempt] = runs.get(run.attempt, 0) + 1
         for attempt in self.attempts:
             count = runs.get(attempt.name, 0)
+            if attempt.cut and count:
+                self.fail(f"{attempt.name} was executed and not answered")
             if attempt.idempotent:
                 continue
             if count > 1:
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -198,7 +198,12 @@
 
 
 class Host(mesh_fleet.Host):
-    """A host whose node runs as a separate process."""
+    """A host whose node runs as a separate process.
+
+    Attributes:
+      ends_expected: identifiers of the processes that were told to end.
+      disturbances: how often a process was killed or frozen.
+    """
 
     def __init__(self, soak: SoakContext, number: int, service: str):
         super().__init__(soak, number, service)
@@ -215,6 +220,8 @@
         self.opening = asyncio.Lock()
         self.node_starts = 0
         self.latest_served_version = 0
+        self.ends_expected: set[int] = set()
+        self.disturbances = 0
 
     def settings_text(self) -> str:
         """Returns the settings file as the platform writes it."""
