Do not wait for a former entry that most neighbours do not know

Change: a new process counts the neighbours that know no former entry, and publishes its own once these are most. A target that turns out to leave after it was resumed also refuses the requests that wait for it.

--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -256,6 +256,7 @@
         if self.resumed == incarnation:
             self.target = None
             self.resumed = None
+            self._refuse_queued()
             self.log.write("target_not_resumed", target=incarnation.target)
         self._count_former_drain()
 
@@ -301,10 +302,14 @@
         self.resumed = None
         self.client.close()
         self.holder.on_target_ended()
+        self._refuse_queued()
+        self.on_grants_end()
+
+    def _refuse_queued(self) -> None:
+        """Refuses all queued requests, as there is no target."""
         for number in list(self.queue.queued):
             self.queue.on_request_ended(self.now_ms(), number, False)
             self._deliver_decision(number, None)
-        self.on_grants_end()
 
     def load_report(self) -> target_selection.LoadReport:
         """Returns the target's load for peers."""
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -116,6 +116,7 @@
       budget: limit of the bytes that all connections keep.
       has_former_entry: whether a peer has sent the entry that the former
         process of this node published.
+      peers_without_former_entry: number of snapshots without that entry.
       leave_heard: the target that last said that it leaves, and when this
         process first heard so.
       acknowledged_leaving: incarnation of the target whose draining heartbeat
@@ -223,6 +224,7 @@
         self.scrapes = self.server(self.answer_scrape)
         self.configuration_item: coordination_store.Item | None = None
         self.has_former_entry = False
+        self.peers_without_former_entry = 0
         self.leave_heard = ("", 0.0)
         self.acknowledged_leaving: model.Incarnation | None = None
         self.tasks: list[asyncio.Task] = []
@@ -444,10 +446,13 @@
     def lacks_former_entry(self) -> bool:
         """Whether peers may know an entry of this node's former process.
 
-        The entry of this process replaces that one, so it is read before.
+        The entry of this process replaces that one, so it is read before. It is
+        missing if most neighbours do not know it either.
         """
         if self.settings.is_bootstrap or self.has_former_entry:
             return False
+        if self.peers_without_former_entry > len(self.peers.neighbours) // 2:
+            return False
         return self.now_ms() - self.started_ms <= SELF_ENTRY_DELAY_MS
 
     def items(self) -> list[tuple[str, bytes, int]]:
@@ -488,6 +493,9 @@
                 [item for item in items if item.key.startswith(prefix)]
             )
         self.peers.on_digest_reply("", snapshot.entries)
+        names = {entry.name for entry in snapshot.entries}
+        if self.settings.ip not in names:
+            self.peers_without_former_entry += 1
         for entry in snapshot.entries:
             if entry.name != self.settings.ip:
                 continue
