--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -20,8 +20,11 @@
 TEST_FOLDERS = ["tests/cover"]
 
 APART = [
+    "tests/cover/test_mesh_leaving.py",
+    "tests/cover/test_mesh_limits.py",
     "tests/cover/test_mesh_restore.py",
     "tests/cover/test_mesh_soak.py",
+    "tests/cover/test_mesh_stop.py",
 ]
 """Files whose tests wait for leases and faults, on separate ports."""
 
