--- a/review/fleet2/upstream.py
+++ b/review/fleet2/upstream.py
@@ -103,7 +103,7 @@
         await self.server.start(host, int(port))
         self.is_up = True
         self.record(f"upstream {self.name} starts at {self.address}")
-        self.task = asyncio.create_task(self._send_heartbeats())
+        self.task = asyncio.create_task(self.send_heartbeats())
 
     def kill(self) -> None:
         """Ends at once."""
@@ -133,7 +133,9 @@
         """Returns the number of keys that it holds now."""
         return sum(row.last - row.first + 1 for row in self.held_rows())
 
-    async def _send_heartbeats(self) -> None:
+    async def send_heartbeats(self, delay_s: float = 0.0) -> None:
+        """Sends heartbeats, the first one after a delay."""
+        await asyncio.sleep(delay_s)
         while True:
             await self.send_heartbeat()
             is_busy = bool(self.freed or self.leaving_rows)
