--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -532,6 +532,12 @@
     raise CannotRunError("no free addresses")
 
 
+def _end(number: int, frame: object) -> None:
+    """Ends the program so that the processes that it started end first."""
+    del number, frame
+    sys.exit(NOT_RUN)
+
+
 def run_case(
     folder: pathlib.Path, case: Callable[[Fleet], Awaitable[str]]
 ) -> None:
@@ -541,6 +547,7 @@
       folder: folder of the case, which receives the record.
       case: plays the case; returns how the rule was broken, or nothing.
     """
+    signal.signal(signal.SIGTERM, _end)
     with tempfile.TemporaryDirectory(prefix="review-") as scratch:
         code = asyncio.run(_run(pathlib.Path(scratch), folder, case))
         if "KEEP_LOGS" in os.environ:
