--- a/review/8/case.py
+++ b/review/8/case.py
@@ -25,10 +25,14 @@
     await asyncio.sleep(8.0)
     before = await clients.served_share(fleet, 5.0, SEND_INTERVAL_S)
     if fleet_module.trouble():
-        fleet.record(f"{LOST} machines are lost for good")
-        for machine in fleet.machines[:LOST]:
+        fleet.record("all machines lose power")
+        for machine in fleet.machines:
             machine.lose_power()
         await asyncio.sleep(REPLACED_AFTER_S)
+        for machine in fleet.machines[LOST:]:
+            machine.start_node()
+            await machine.start_upstream()
+        fleet.record(f"{LOST} machines are lost for good, the others are back")
         for _ in range(LOST):
             await fleet.add_machine("portal", False)
         fleet.record("as many machines have come at other addresses")
