--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import signal
+import time
 
 from review.fleet2 import clients
 from review.fleet2 import fleet as fleet_module
@@ -14,6 +15,7 @@
 DEADLINE_MS = 6_000
 SEND_INTERVAL_S = 0.005
 LOST_SHARE = 0.4
+LOSES_FOR_S = 4.0
 ALLOWED = 3
 DRAIN_S = 2.0
 LINGER_S = 1.5
@@ -49,7 +51,10 @@
     rng = random.Random(leaving.number)
     if fleet_module.trouble():
         fleet.record(f"{leaving.upstream.name} loses {LOST_SHARE} of answers")
-        leaving.upstream.loses_answer = lambda run: rng.random() < LOST_SHARE
+        end_s = time.monotonic() + LOSES_FOR_S
+        leaving.upstream.loses_answer = lambda run: (
+            time.monotonic() < end_s and rng.random() < LOST_SHARE
+        )
     await drain(fleet, leaving)
     leaving.signal_node(signal.SIGTERM)
 
