--- a/review/fleet2/upstream.py
+++ b/review/fleet2/upstream.py
@@ -49,6 +49,7 @@
       freed: rows that it has released since the last acknowledged heartbeat.
       running: requests that it works on, by number.
       runs: all requests that it began to work on.
+      arrived: ids of all requests that reached it.
       loses_answer: whether the answer of a run is lost.
       beating: held while a heartbeat has no answer.
       ended_s: when it ended.
@@ -88,6 +89,7 @@
         self.running: dict[int, Run] = {}
         self.numbers = 0
         self.runs: list[Run] = []
+        self.arrived: set[str] = set()
         self.waiting = 0
         self.is_up = False
         self.loses_answer: Callable[[Run], bool] = lambda run: False
@@ -227,6 +229,7 @@
         if not attempt:
             http.answer(writer, 400, {"Auburnrock-Not-Executed": "1"})
             return True
+        self.arrived.add(attempt)
         wanted = request.headers.get("auburnrock-target-instance")
         if wanted not in (None, self.name):
             echo["Auburnrock-Instance-Id"] = self.name
