Believe no single heartbeat of another target, and repair overwritten items

Cause: one heartbeat with the right address was taken for the proof that the former start of the target had ended and held nothing. Its service, zone and sequence number were not compared with anything. Evidence: target_started of the foreign id, then table_written cause=move by the same node, no lease_lost between. Ruled out: the lease and the table, which were as they should be.

Why it works: a start that contradicts a known one is a claim. The target itself (its health path, or a refused connection) settles it; without its word the claim holds after further heartbeats in a silence of the known start, and the keys move only after all grants. The same evidence is asked of a new process, of sequence numbers and of `freed`. A leaving that later heartbeats contradict ends. Unreadable records and tables are overwritten at their revision by who knows the last valid one; each later change conflicted with them before.

Changed tests: a target frees keys only after a reply has left them out, so the tests of freed keys now send that reply first; a new start is believed after its second heartbeat, and the test expects the refusal of the first too; test_fields_of_other_programs_are_no_mistake names `protocol`, as nodes use health_path now. The fleet's configuration has health_path, as the users' has.

--- a/src/auburnrock/engine/mesh/farewells.py
+++ b/src/auburnrock/engine/mesh/farewells.py
@@ -30,6 +30,10 @@
         if len(self.received_unix_ms) > TARGETS_MAX:
             del self.received_unix_ms[next(iter(self.received_unix_ms))]
 
+    def forget(self, target: str) -> None:
+        """Forgets a farewell that was not the target's own."""
+        self.received_unix_ms.pop(target, None)
+
     def has_left(self, target: str) -> bool:
         """Whether a start of a target before this process has ended."""
         return target in self.received_unix_ms
--- a/src/auburnrock/engine/mesh/model.py
+++ b/src/auburnrock/engine/mesh/model.py
@@ -177,12 +177,15 @@
       keyed: whether the service is divided by key.
       cold_per_s: requests per second that one target tolerates while it is
         cold; 0 for no limit.
+      health_path: path at which a target says which one it is; empty if it is
+        not stated.
     """
 
     name: str
     connections_max: int
     keyed: bool
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 class Configuration(msgspec.Struct, frozen=True):
--- a/src/auburnrock/engine/mesh/target_grants.py
+++ b/src/auburnrock/engine/mesh/target_grants.py
@@ -5,8 +5,14 @@
 reply that granted it, plus the hold time, plus the drift of the target's clock.
 A key moves to another target only after this target has reported it freed,
 that time has passed, or this incarnation of the target has ended.
+
+A heartbeat may come from another writer. So the heartbeat of another
+incarnation ends no hold of the known one (see incarnation_claims).
 """
 
+import math
+
+from auburnrock.engine.mesh import incarnation_claims
 from auburnrock.engine.mesh import key_table as table_module
 from auburnrock.engine.mesh import model
 
@@ -32,6 +38,18 @@
 network."""
 
 
+SEQUENCE_STEP_MAX = 100
+"""Largest step between the sequence numbers of two heartbeats. Targets send ten
+a second at most, and each is answered."""
+
+NO_SEQUENCE = -2
+"""Stands for no sequence number."""
+
+HEARTBEAT_MS = 1_000.0
+"""Longest usual interval between heartbeats in milliseconds, unless it is
+given."""
+
+
 class TargetGrants:
     """Grants of the target beside this node.
 
@@ -41,6 +59,8 @@
       incarnation: current incarnation of the target; None without one.
       last_ended: latest incarnation of the target that is known to have ended.
       sequence: sequence number of the target's latest heartbeat.
+      skipped_from: sequence number before the latest one, if numbers between
+        them were left out; NO_SEQUENCE if not.
       last_heartbeat_ms: when the latest heartbeat was received.
       draining: whether the target accepts no new work.
       table: latest known key table; None before one is known.
@@ -64,10 +84,21 @@
       reported_ranges: ranges that the last heartbeat reported as held.
       unknown_until_ms: time until which grants of an earlier process of this
         node may last.
+      former_until_ms: time until which earlier incarnations of the target may
+        hold keys; 0 if they have certainly ended.
+      began_ms: when the first heartbeat of the current incarnation was
+        received.
+      former_is_unheard: whether earlier incarnations of the target are known
+        only from the table, and not by a heartbeat to this process.
+      claims: heartbeats that contradict the current incarnation or sequence.
     """
 
     __slots__ = (
+        "began_ms",
+        "claims",
         "draining",
+        "former_is_unheard",
+        "former_until_ms",
         "grants_reported_only",
         "handovers",
         "hold_ms",
@@ -83,18 +114,26 @@
         "reported_ranges",
         "sequence",
         "served_until_ms",
+        "skipped_from",
         "table",
         "uncertain",
         "unknown_until_ms",
         "until_ms",
     )
 
-    def __init__(self, member: str, hold_ms: float, now_ms: float):
+    def __init__(
+        self,
+        member: str,
+        hold_ms: float,
+        now_ms: float,
+        heartbeat_ms: float = HEARTBEAT_MS,
+    ):
         self.member = member
         self.hold_ms = hold_ms
         self.incarnation: model.Incarnation | None = None
         self.last_ended: model.Incarnation | None = None
         self.sequence = -1
+        self.skipped_from = NO_SEQUENCE
         self.last_heartbeat_ms = now_ms
         self.draining = False
         self.table: table_module.KeyTable | None = None
@@ -110,24 +149,42 @@
         self.grants_reported_only = False
         self.reported_ranges: list[model.HeldRange] = []
         self.unknown_until_ms = now_ms + hold_ms * CLOCK_DRIFT_FACTOR
+        self.former_until_ms = self.unknown_until_ms
+        self.began_ms = now_ms
+        self.former_is_unheard = True
+        self.claims = incarnation_claims.IncarnationClaims(heartbeat_ms)
 
     def on_heartbeat(self, now_ms: float, heartbeat: model.Heartbeat) -> bool:
         """Handles a heartbeat of the target.
 
         Returns:
           Whether it was applied; a heartbeat older than the latest one, or of
-          an earlier incarnation, is ignored.
+          another incarnation than the known one, is a claim until further ones
+          follow.
         """
-        incarnation = model.Incarnation(
-            self.member, heartbeat.target, heartbeat.started_ms
-        )
-        if self.incarnation != incarnation:
-            newest = self.incarnation or self.last_ended
-            if newest and heartbeat.started_ms < newest.started_ms:
+        incarnation = self.incarnation_of(heartbeat)
+        if not self._is_expected(incarnation, heartbeat.sequence):
+            self.claims.add(now_ms, incarnation, heartbeat.sequence)
+            if not self.claims.holds(
+                now_ms,
+                self.incarnation or self.last_ended,
+                self.last_heartbeat_ms,
+                self.table.owners if self.table is not None else (),
+            ):
                 return False
+        if self.incarnation != incarnation:
             self._begin_incarnation(now_ms, incarnation)
-        elif heartbeat.sequence <= self.sequence:
-            return False
+        elif self.claims.claim is not None:
+            # The claimant may be the target that the table names.
+            self.began_ms = now_ms
+        elif self.former_is_unheard:
+            interval_ms = self.claims.interval_ms
+            span_ms = incarnation_claims.SPAN_FACTOR * interval_ms
+            if now_ms - self.began_ms >= span_ms:
+                self.on_former_ended()
+        self.claims.clear()
+        is_step = heartbeat.sequence - self.sequence <= 1
+        self.skipped_from = NO_SEQUENCE if is_step else self.sequence
         self.sequence = heartbeat.sequence
         self.last_heartbeat_ms = now_ms
         self.draining = self.draining or (
@@ -139,6 +196,52 @@
             self._record_freed_ranges(heartbeat.freed_ranges)
         return True
 
+    def incarnation_of(self, heartbeat: model.Heartbeat) -> model.Incarnation:
+        """Returns the incarnation that a heartbeat names."""
+        return model.Incarnation(
+            self.member, heartbeat.target, heartbeat.started_ms
+        )
+
+    def rivals_of(self, heartbeat: model.Heartbeat) -> set[str]:
+        """Returns the known targets beside this node other than a heartbeat's.
+
+        They have not certainly ended, so a target of another name has its
+        address only if they have.
+        """
+        rivals = set()
+        if self.incarnation is not None:
+            rivals.add(self.incarnation.target)
+        elif self.table is not None and self.former_until_ms > 0.0:
+            rivals.update(
+                owner.target
+                for owner in self.table.owners
+                if owner.node == self.member
+            )
+        return rivals - {heartbeat.target}
+
+    def on_former_ended(self) -> None:
+        """Handles the certain end of all earlier incarnations."""
+        self.former_until_ms = 0.0
+        self.former_is_unheard = False
+
+    def on_drain_revoked(self) -> None:
+        """Handles that the target accepts work, contrary to another writer."""
+        self.draining = False
+
+    def _is_expected(
+        self, incarnation: model.Incarnation, sequence: int
+    ) -> bool:
+        """Whether a heartbeat contradicts nothing that is known."""
+        if incarnation == self.incarnation:
+            # Another writer may have used the same number, or left some out.
+            is_next = 0 <= sequence - self.sequence <= SEQUENCE_STEP_MAX
+            is_first = self.sequence < 0
+            return is_next or is_first or sequence == self.skipped_from + 1
+        if self.incarnation is not None:
+            return False
+        newest = self.last_ended
+        return newest is None or incarnation.started_ms >= newest.started_ms
+
     def on_target_ended(self) -> None:
         """Handles the certain end of the target's process: it holds nothing."""
         self.last_ended = self.incarnation or self.last_ended
@@ -146,6 +249,8 @@
         self.draining = False
         self._clear_holds()
         self.unknown_until_ms = 0.0
+        self.claims.clear()
+        self.on_former_ended()
 
     def on_leaving(self) -> None:
         """Handles the target's announcement that it is leaving."""
@@ -338,6 +443,11 @@
             return False
         return self.served_until_ms.keys() != set(self._stripes_to_grant())
 
+    def must_renew(self, now_ms: float) -> bool:
+        """Whether less than half of the hold time is left for some stripe."""
+        until_ms = min(self.served_until_ms.values(), default=math.inf)
+        return until_ms - now_ms < self.hold_ms / 2
+
     def may_serve(self, now_ms: float, key: int) -> bool:
         """Whether a request for a key may be sent to the target now."""
         if self.table is None:
@@ -395,10 +505,18 @@
         self, now_ms: float, incarnation: model.Incarnation
     ) -> None:
         if self.incarnation is not None:
+            # Its end is likely, and not certain: its keys are free once all
+            # grants have run out.
+            self.former_until_ms = max(
+                self.former_until_ms,
+                self.unknown_until_ms,
+                *self.until_ms.values(),
+            )
+            self.former_is_unheard = False
             self.last_ended = self.incarnation
             self._clear_holds()
-            self.unknown_until_ms = 0.0
         self.incarnation = incarnation
+        self.began_ms = now_ms
         self.sequence = -1
         self.draining = False
 
@@ -449,7 +567,13 @@
             for index in range(low, high + 1):
                 first, last = self.table.span(index)
                 is_whole = freed.first <= first and last <= freed.last
-                if is_whole and index not in self.partly_reported:
+                # A target frees only what the last reply has left out.
+                is_granted = index in self.served_until_ms
+                if (
+                    is_whole
+                    and not is_granted
+                    and index not in self.partly_reported
+                ):
                     self.handovers[index] = freed.handover
                     self.until_ms.pop(index, None)
                     self.served_until_ms.pop(index, None)
--- a/src/auburnrock/platform/configuration.py
+++ b/src/auburnrock/platform/configuration.py
@@ -67,6 +67,8 @@
     sharded: bool = False
     # Requests per second that one target tolerates while it is cold.
     cold_per_s: float = 0.0
+    # Path at which a target reports its health and its id.
+    health_path: str = ""
 
 
 class _Configuration(msgspec.Struct):
@@ -210,6 +212,7 @@
         cluster.max_connections,
         cluster.sharded,
         cluster.cold_per_s,
+        cluster.health_path,
     )
 
 
--- a/src/auburnrock/platform/heartbeats.py
+++ b/src/auburnrock/platform/heartbeats.py
@@ -70,7 +70,7 @@
         address=wire.address,
         zone=wire.info.zone,
         version=wire.info.version,
-        slots=max(1, wire.info.slots),
+        slots=wire.info.slots,
         state=state,
         sequence=wire.status.seq_num,
         cold_ms=codec.parse_duration_ms(wire.status.cold_remaining),
@@ -88,9 +88,9 @@
     numbers = [wire.born, wire.status.seq_num, *(row[2] for row in wire.holds)]
     if not all(0 <= number <= model.NUMBER_MAX for number in numbers):
         raise codec.PlatformDecodeError("a number is out of range")
-    if wire.info.slots > model.SLOTS_MAX:
+    if not 0 < wire.info.slots <= model.SLOTS_MAX:
         raise codec.PlatformDecodeError(
-            f"expected at most {model.SLOTS_MAX} slots, got {wire.info.slots}"
+            f"expected 1 to {model.SLOTS_MAX} slots, got {wire.info.slots}"
         )
 
 
--- a/src/auburnrock/platform/names.py
+++ b/src/auburnrock/platform/names.py
@@ -8,6 +8,8 @@
 DEADLINE = b"auburnrock-deadline-ms"
 # The only target that may execute the request; others respond with 421.
 TARGET = b"auburnrock-target-instance"
+# Id of the target that gave a response.
+TARGET_ID = b"auburnrock-instance-id"
 # Service of the host on which the request originated, not of the process that
 # called this node.
 CALLER = b"auburnrock-caller-service"
--- a/src/auburnrock/platform/protocol.py
+++ b/src/auburnrock/platform/protocol.py
@@ -56,6 +56,10 @@
         """Decodes what a target says of itself in a response."""
         return requests.decode_notice(answer)
 
+    def target_of(self, answer: http_client.Response) -> str:
+        """Returns the id of the target that gave a response, or ""."""
+        return requests.target_of(answer)
+
     def forwarded_headers(
         self, headers: http_client.Headers
     ) -> http_client.Headers:
--- a/src/auburnrock/platform/requests.py
+++ b/src/auburnrock/platform/requests.py
@@ -116,6 +116,11 @@
     return model.TargetNotice(float(value), leaving, host_percent=host_percent)
 
 
+def target_of(answer: http_client.Response) -> str:
+    """Returns the id of the target that gave a response, or ""."""
+    return (answer.header(names.TARGET_ID) or b"").decode("latin-1")
+
+
 def _host_percent(value: bytes | None) -> int | None:
     """Returns the fourth figure of a target's load; None if it has none."""
     if value is None:
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -58,6 +58,15 @@
 LONG_WAIT_MS = 50.0
 """Waits in the queue longer than this are logged."""
 
+IDENTIFY_TIMEOUT_S = 0.3
+"""Time-out, in seconds, of the question which target has the address. The
+heartbeat that causes it must be acknowledged within a second."""
+
+READY_HEARTBEATS_MIN = {"heartbeat": 2, "farewell": 3}
+"""Number of heartbeats that say that the target accepts work, after which a
+drain ends, by the drain's cause. A response says certainly that its target
+leaves."""
+
 _OWN_RESPONSES = frozenset(
     {model.TargetVerdict.ANSWER, model.TargetVerdict.NOT_RUN}
 )
@@ -107,6 +116,11 @@
       closing: whether this process ends once the running requests have ended.
       resumed: incarnation of the target that the former process of this node
         knew, until the first heartbeat is received here; None after.
+      drain_cause: what began the drain.
+      ready_heartbeats: heartbeats since the drain began that say that the
+        target accepts work.
+      health_path: path at which the target says which one it is; empty if it
+        is unknown.
       broken_connections: connections to the target that broke lately.
     """
 
@@ -137,6 +151,9 @@
         )
         self.target: model.Heartbeat | None = None
         self.drain_since_ms: float | None = None
+        self.drain_cause = ""
+        self.ready_heartbeats = 0
+        self.health_path = ""
         self.service_time_ratio = ratio_module.ServiceTimeRatio(now_ms())
         self.host_speed = reported_load.HostSpeed()
         self.keyed = False
@@ -183,8 +200,11 @@
         self.queue.slots = beat.slots
         self._apply_cold_start(now_ms, beat)
         if beat.state is model.TargetState.DRAINING:
+            self.ready_heartbeats = 0
             self.begin_drain("heartbeat")
             self._count_former_drain()
+        elif self.drain_since_ms is not None:
+            self._count_ready_heartbeat(beat)
         if is_new:
             self._resume_drain()
         self.dispatch_decisions(self.queue.start_queued(now_ms))
@@ -332,12 +352,71 @@
         """Begins the drain; the target receives no new requests after it."""
         if self.drain_since_ms is None and self.target is not None:
             self.drain_since_ms = self.now_ms()
+            self.drain_cause = cause
+            self.ready_heartbeats = 0
             self.holder.on_leaving()
             self.on_grants_end()
             self.log.write(
                 "target_draining", target=self.target.target, cause=cause
             )
 
+    def _count_ready_heartbeat(self, beat: model.Heartbeat) -> None:
+        """Ends a drain that the target's later heartbeats contradict.
+
+        Another writer said then that it leaves. A target that leaves sends no
+        such heartbeat; a few late ones may follow its farewell.
+        """
+        self.ready_heartbeats += 1
+        needed = READY_HEARTBEATS_MIN.get(self.drain_cause)
+        if needed is None or self.ready_heartbeats < needed:
+            return
+        self.log.write(
+            "drain_revoked", target=beat.target, cause=self.drain_cause
+        )
+        self.drain_since_ms = None
+        self.leaving = None
+        self.farewells.forget(beat.target)
+        self.holder.on_drain_revoked()
+        self.on_grants_end()
+
+    async def identify_target(self) -> str:
+        """Asks the target's address for the target's id.
+
+        Returns:
+          The id; empty if the answer has none.
+        """
+        if not self.health_path:
+            return ""
+        headers = [(b"host", self.settings.target_address.encode())]
+        data = http_client.encode_request(
+            b"GET", self.health_path.encode(), headers, b""
+        )
+        try:
+            async with asyncio.timeout(IDENTIFY_TIMEOUT_S):
+                connection = await self.client.open()
+                try:
+                    answer = await connection.exchange(data, lambda _: True)
+                finally:
+                    connection.abort()
+        except http_client.ConnectError as error:
+            if error.no_listener and self.target is not None:
+                self._record_crash(self.target)
+                self.mark_target_ended("connection_refused")
+            return ""
+        except (TimeoutError, http_client.ConnectionBrokenError) as error:
+            self.log.write("target_unidentified", reason=repr(error))
+            return ""
+        return self.protocol.target_of(answer)
+
+    def on_target_replaced(self, beat: model.Heartbeat) -> None:
+        """Handles that the target's address is that of another target now."""
+        known = self.target
+        is_known = known is not None and self.resumed is None
+        if is_known and known.target != beat.target:
+            self._record_crash(known)
+            self.mark_target_ended("replaced")
+        self.holder.on_former_ended()
+
     def mark_target_ended(self, cause: str) -> None:
         """Records that this incarnation of the target has certainly ended."""
         if self.target is None:
--- a/src/auburnrock/shells/mesh/key_migration.py
+++ b/src/auburnrock/shells/mesh/key_migration.py
@@ -89,6 +89,8 @@
         None if it has it.
       old_era_since_ms: time since which the table is of an older era; None
         if it is of the current one.
+      unreadable_since_ms: time since which the store has an unreadable table;
+        None if it has none.
       basis: inputs of the last plan.
       planned_targets: targets that could own keys in the last plan, and the own
         incarnation.
@@ -113,6 +115,7 @@
         self.ownerless_checked_ms = 0.0
         self.missing_since_ms: dict[str, float] = {}
         self.old_era_since_ms: float | None = None
+        self.unreadable_since_ms: float | None = None
         self.table_lost_since_ms: float | None = None
         self.basis: tuple = ()
         self.planned_targets: tuple = ()
@@ -314,6 +317,23 @@
             )
         return True
 
+    async def rewrite_unreadable_table(self, now_ms: float) -> None:
+        """Writes the known table over one that another writer has written.
+
+        Every node of the service may do so; they begin one after another. A
+        node that knows a later version then writes that one as a lost table.
+        """
+        service = self.settings.service
+        known = self.cache.tables.get(service)
+        if self.cache.table_key(service) not in self.cache.unreadable:
+            self.unreadable_since_ms = None
+            return
+        if self.unreadable_since_ms is None:
+            self.unreadable_since_ms = now_ms
+        waited_ms = now_ms - self.unreadable_since_ms
+        if known is not None and waited_ms >= self._rewrite_delay_ms():
+            await self._write_table(known[0], known[1], set(), "put_back")
+
     def _rewrite_delay_ms(self) -> float:
         """Returns this node's delay, by its rank among the service's nodes."""
         before = sum(
@@ -473,6 +493,8 @@
             # The target may still run and hold keys that an earlier process
             # granted.
             return {}
+        if holder.incarnation is not None and now_ms < holder.former_until_ms:
+            return {}
         if holder.incarnation is not None and not self.context.gives_up_keys():
             return {index: (holder.incarnation, "") for index in former}
         weights = self._weights()
@@ -577,14 +599,16 @@
         """
         service = self.settings.service
         key = self.cache.table_key(service)
-        expected = {key: revision}
+        # An unreadable table is replaced.
+        expected = {key: max(revision, self.cache.unreadable.get(key, 0))}
         for name in members:
             known = self.cache.members.get(name)
             if known is None:
                 return False
             expected[self.cache.member_key(name)] = known[1]
         for name in absent:
-            expected[self.cache.member_key(name)] = 0
+            member_key = self.cache.member_key(name)
+            expected[member_key] = self.cache.unreadable.get(member_key, 0)
         data = store_cache.encode(table)
         result = await self.store.compare_and_swap(expected, {key: data}, [])
         self.log.write(
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -152,7 +152,13 @@
         term_ms = hold_ms * holder_module.CLOCK_DRIFT_FACTOR + TERM_EXTRA_MS
         now_ms = self.now_ms()
         self.suspects = suspects_module.CrashSuspects()
-        self.holder = holder_module.TargetGrants(settings.ip, hold_ms, now_ms)
+        self.holder = holder_module.TargetGrants(
+            settings.ip,
+            hold_ms,
+            now_ms,
+            settings.heartbeat_ms
+            + target_registration.HEARTBEAT_REPLY_DELAY_S * 1_000,
+        )
         self.executor = executor.Executor(
             settings,
             protocol,
@@ -692,6 +698,7 @@
         service = configuration.services.get(self.settings.service)
         self.ownership.keyed = service is not None and service.keyed
         self.executor.keyed = self.ownership.keyed
+        self.executor.health_path = service.health_path if service else ""
         self.executor.queue.cold_start.configure(
             service.cold_per_s if service is not None else 0.0,
             self.settings.bounds.cold_over,
--- a/src/auburnrock/shells/mesh/own_record.py
+++ b/src/auburnrock/shells/mesh/own_record.py
@@ -24,6 +24,7 @@
       revision: revision of the record; 0 while this node is not registered.
       record: the record as it was written; None while this node is not
         registered.
+      written: the record as this process wrote or found it last; None before.
       is_confirmed: whether the record was read or written after the initial
         assignment of keys.
       earlier_lease_ends_ms: end of the lease by the renewals of earlier eras; 0
@@ -37,6 +38,7 @@
         super().__init__(context)
         self.revision = 0
         self.record: model.Member | None = None
+        self.written: model.Member | None = None
         self.is_confirmed = True
         self.earlier_lease_ends_ms = 0.0
         self.unfit_since_ms: float | None = None
@@ -111,7 +113,10 @@
         """
         known = self.cache.members.get(self.name)
         witnesses: tuple[str, ...] = ()
-        if known and known[0].service == self.settings.service:
+        if known and self.written is not None:
+            # The record in the store may be another writer's.
+            witnesses = self.written.witnesses
+        elif known and known[0].service == self.settings.service:
             witnesses = known[0].witnesses
         record = model.Member(
             self.name,
@@ -123,17 +128,17 @@
             witnesses,
             self.settings.link_mbps,
         )
-        if known is not None and known[0] == record:
+        key = self.cache.member_key(self.name)
+        stored = self.cache.stored_revision(key)
+        if known is not None and known == (record, stored):
             self._begin_term(record, known[1])
             return
-        key = self.cache.member_key(self.name)
-        expected = {key: known[1] if known else 0}
-        table = self.cache.tables.get(self.settings.service)
+        expected = {key: stored}
         # The pages of a listing are not one snapshot: they may show the record
         # as removed by a takeover, and the table as it was before the takeover
         # or not at all.
         table_key = self.cache.table_key(self.settings.service)
-        expected[table_key] = table[1] if table else 0
+        expected[table_key] = self.cache.stored_revision(table_key)
         result = await self.store.compare_and_swap(
             expected, {key: store_cache.encode(record)}, []
         )
@@ -150,6 +155,7 @@
 
     def _begin_term(self, record: model.Member, revision: int) -> None:
         self.record = record
+        self.written = record
         self.revision = revision
         self.earlier_lease_ends_ms = 0.0
         self.lease.begin_term(revision, record.witnesses)
@@ -299,6 +305,7 @@
 
     def _complete_change(self, record: model.Member, revision: int) -> None:
         self.record = record
+        self.written = record
         self.revision = revision
         self.cache.members[self.name] = (record, revision)
         self.lease.complete_change(revision, record.witnesses)
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -117,6 +117,7 @@
     def _on_member(self, name: str, item: coordination_store.Item) -> None:
         now_ms = self.now_ms()
         if item.value is None:
+            self.cache.mark_readable(item.key, item.revision)
             self.cache.members.pop(name, None)
             if name == self.name and item.revision > self.own_record.revision:
                 self.own_record.on_record_lost("record_removed", item.revision)
@@ -125,7 +126,11 @@
             member = store_cache.decode_member(name, item.value)
         except store_cache.UnreadableItemError as error:
             self.log.write("record_unreadable", key=item.key, error=str(error))
+            self.cache.mark_unreadable(item.key, item.revision)
+            if name == self.name and item.revision > self.own_record.revision:
+                self.own_record.on_record_lost("record_replaced", item.revision)
             return
+        self.cache.mark_readable(item.key, item.revision)
         known = self.cache.members.get(name)
         if known is not None and known[1] > item.revision:
             return
@@ -145,6 +150,7 @@
         if self.cache.known_revision(item.key) >= item.revision:
             return
         if item.value is None:
+            self.cache.mark_readable(item.key, item.revision)
             # No node removes a table, so a restored store lacks it.
             self.cache.mark_table_lost(service)
             return
@@ -152,6 +158,7 @@
             table = store_cache.decode_table(item.value)
         except store_cache.UnreadableItemError as error:
             self.log.write("table_unreadable", key=item.key, error=str(error))
+            self.cache.mark_unreadable(item.key, item.revision)
             return
         self.apply_table(service, table, item.revision)
 
@@ -168,6 +175,7 @@
         known = self.cache.tables.get(service)
         if not self.cache.update_table(service, table, revision):
             return
+        self.cache.mark_readable(self.cache.table_key(service), revision)
         is_same = known is not None and known[0] == table
         newest = self.cache.lost_tables.pop(service, known and known[0])
         lost = store_restore.lost_table(newest, table)
@@ -376,6 +384,7 @@
             await self.own_record.change_witnesses(now_ms)
             if await self.migration.rewrite_lost_table(now_ms):
                 return
+            await self.migration.rewrite_unreadable_table(now_ms)
             await self.migration.advance_table_to_era(now_ms)
             if self.is_restoring(now_ms):
                 return
--- a/src/auburnrock/shells/mesh/store_cache.py
+++ b/src/auburnrock/shells/mesh/store_cache.py
@@ -6,6 +6,7 @@
 
 from auburnrock.engine.mesh import coordination_store
 from auburnrock.engine.mesh import key_table as table_module
+from auburnrock.engine.mesh import lease as lease_module
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import peer_messages
 from auburnrock.engine.mesh import store_restore
@@ -93,6 +94,11 @@
         )
     if member.state not in tuple(model.MemberState):
         raise UnreadableItemError(f"unknown state {member.state}")
+    if len(member.witnesses) > lease_module.WITNESSES_MAX:
+        raise UnreadableItemError(
+            f"expected at most {lease_module.WITNESSES_MAX} witnesses, got"
+            f" {len(member.witnesses)}"
+        )
     return member
 
 
@@ -113,6 +119,24 @@
     )
     if largest > model.NUMBER_MAX:
         raise UnreadableItemError(f"version or token {largest} is too large")
+    least = min(
+        table.version,
+        table.era,
+        table.fence_floor,
+        min((stripe.fence for stripe in table.stripes), default=0),
+    )
+    if least < 0:
+        raise UnreadableItemError(f"version, era or token {least} is negative")
+    if not 0 < len(table.stripes) <= table_module.STRIPES_MAX:
+        raise UnreadableItemError(
+            f"expected 1 to {table_module.STRIPES_MAX} stripes, got"
+            f" {len(table.stripes)}"
+        )
+    if table.stripes_per_run < 1:
+        raise UnreadableItemError("expected one or more stripes in a run")
+    owners = range(len(table.owners))
+    if not all(stripe.owner in owners for stripe in table.stripes):
+        raise UnreadableItemError("a stripe has an owner that is not listed")
     return table
 
 
@@ -127,6 +151,8 @@
         service; `tables` has the versions of the restored store.
       bases: the last few earlier tables and their revisions, by service.
       raw_items: undecoded items other than tables, by key.
+      unreadable: revisions of the items that another writer has overwritten,
+        by key; the record or table known before is still in force.
     """
 
     def __init__(self, prefix: str):
@@ -136,6 +162,7 @@
         self.lost_tables: dict[str, table_module.KeyTable] = {}
         self.bases: dict[str, list[tuple[table_module.KeyTable, int]]] = {}
         self.raw_items: dict[str, coordination_store.Item] = {}
+        self.unreadable: dict[str, int] = {}
 
     def items(self) -> list[coordination_store.Item]:
         """Returns all items.
@@ -204,6 +231,22 @@
         known = (self.members if kind == "m" else self.tables).get(name)
         return known[1] if known else 0
 
+    def stored_revision(self, key: str) -> int:
+        """Returns an item's revision in the store, also of an unreadable one.
+
+        A change that is conditional on it replaces what another writer wrote.
+        """
+        return max(self.known_revision(key), self.unreadable.get(key, 0))
+
+    def mark_unreadable(self, key: str, revision: int) -> None:
+        """Records that the store has an unreadable item."""
+        self.unreadable[key] = max(revision, self.unreadable.get(key, 0))
+
+    def mark_readable(self, key: str, revision: int) -> None:
+        """Records that the store has a readable item or none."""
+        if revision > self.unreadable.get(key, 0):
+            self.unreadable.pop(key, None)
+
     def update_table(
         self, service: str, table: table_module.KeyTable, revision: int
     ) -> bool:
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -86,9 +86,16 @@
     async def _take_over(self, name: str) -> None:
         """Takes over a silent node if most of its witnesses find it silent."""
         try:
-            member, revision = self.cache.members[name]
+            known = self.cache.members.get(name)
+            if known is None:
+                return
+            # The record and its revision belong together: the record may change
+            # while the witnesses answer.
+            member = known[0]
+            stored = self.cache.stored_revision(self.cache.member_key(name))
+            is_overwritten = stored > known[1]
             if await self._majority_finds_silent(member):
-                await self._seal(member, revision)
+                await self._seal(member, stored, is_overwritten)
         except coordination_store.StoreError as error:
             self.log.write("takeover_failed", node=name, reason=str(error))
         finally:
@@ -111,14 +118,21 @@
         )
         return silent >= lease_module.majority(len(member.witnesses))
 
-    async def _seal(self, member: model.Member, revision: int) -> None:
+    async def _seal(
+        self, member: model.Member, revision: int, is_overwritten: bool
+    ) -> None:
         """Seals a node's record, then its witnesses, and moves its keys.
 
+        Args:
+          member: the node's record.
+          revision: the store's revision of it, or of what replaced it.
+          is_overwritten: whether another writer has replaced it.
+
         Raises:
           StoreError: a change of the store failed, or its outcome is unknown.
         """
         key = self.cache.member_key(member.name)
-        if member.state != model.MemberState.SEALING:
+        if member.state != model.MemberState.SEALING or is_overwritten:
             sealed = msgspec.structs.replace(
                 member, state=model.MemberState.SEALING
             )
@@ -217,7 +231,8 @@
         known = self.cache.tables.get(member.service)
         table = None
         if known is not None:
-            expected[self.cache.table_key(member.service)] = known[1]
+            table_key = self.cache.table_key(member.service)
+            expected[table_key] = self.cache.stored_revision(table_key)
             moves = self._takeover_moves(member, known[0])
             if moves:
                 table = table_module.with_moves(known[0], moves)
@@ -315,12 +330,13 @@
             if silent_ms < RECORD_EXPIRY_MS or await self._is_responding(name):
                 continue
             key = self.cache.member_key(name)
-            table = self.cache.tables.get(known[0].service)
             # A table that is not known here may give keys to this node.
             table_key = self.cache.table_key(known[0].service)
-            result = await self.store.compare_and_swap(
-                {key: known[1], table_key: table[1] if table else 0}, {}, [key]
-            )
+            expected = {
+                each: self.cache.stored_revision(each)
+                for each in (key, table_key)
+            }
+            result = await self.store.compare_and_swap(expected, {}, [key])
             self.log.write(
                 "record_forgotten", node=name, done=isinstance(result, int)
             )
--- a/src/auburnrock/shells/mesh/target_registration.py
+++ b/src/auburnrock/shells/mesh/target_registration.py
@@ -27,6 +27,11 @@
 the confirmation of peers."""
 
 
+IDENTIFY_INTERVAL_MS = 400.0
+"""Minimum interval, in milliseconds, between two questions to the target which
+one it is."""
+
+
 class TargetRegistration:
     """Answers the calls with which a target reports itself.
 
@@ -37,6 +42,7 @@
         process first heard so.
       acknowledged_leaving: incarnation of the target whose draining heartbeat
         was acknowledged; None before.
+      identified_ms: when the target was last asked which one it is.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         self.now_ms = now_ms
         self.leave_heard = ("", 0.0)
         self.acknowledged_leaving: model.Incarnation | None = None
+        self.identified_ms = -IDENTIFY_INTERVAL_MS
 
     async def answer(
         self, request: http_server.Request
@@ -114,13 +121,20 @@
     ) -> http_server.Response:
         """Answers one heartbeat with the grants of the target.
 
-        While the grants do not change, the reply is delayed by up to
+        While the grants do not change and last, the reply is delayed by up to
         HEARTBEAT_REPLY_DELAY_S.
         """
-        if beat.address != self.settings.target_address:
+        field = self.foreign_field(beat)
+        if field:
             self.log.write(
-                "heartbeat_elsewhere", target=beat.target, address=beat.address
+                "heartbeat_elsewhere",
+                target=beat.target,
+                address=beat.address,
+                field=field,
             )
+            return http_server.Response(400, [])
+        rivals = self.holder.rivals_of(beat)
+        if rivals and not await self.succeeds(beat, rivals):
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         if not self.holder.on_heartbeat(request.received_ms, beat):
             self.log.write(
@@ -128,6 +142,7 @@
                 target=beat.target,
                 sequence=beat.sequence,
                 started_ms=beat.started_ms,
+                known_sequence=self.holder.sequence,
             )
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         self.executor.apply_heartbeat(beat)
@@ -137,9 +152,13 @@
             if not await self.confirm_leaving(beat.target):
                 return http_server.Response(503, [])
             self.acknowledged_leaving = incarnation
+        elif not is_leaving and self.executor.drain_since_ms is None:
+            self.acknowledged_leaving = None
         if not self.ownership.keyed:
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
-        if not self.has_grants() and not self.holder.draining:
+        # Another writer's heartbeat may have taken the reply to the last one.
+        is_late = self.holder.must_renew(self.now_ms())
+        if not (self.has_grants() or self.holder.draining or is_late):
             self.ownership.grants_changed.clear()
             try:
                 async with asyncio.timeout(HEARTBEAT_REPLY_DELAY_S):
@@ -155,6 +174,39 @@
         )
         return self.protocol.encode_heartbeat_reply(reply)
 
+    def foreign_field(self, beat: model.Heartbeat) -> str:
+        """Returns the field that shows a heartbeat of another writer, or ""."""
+        settings = self.settings
+        if not beat.target:
+            return "id"
+        if beat.address != settings.target_address:
+            return "address"
+        if beat.service != settings.service:
+            return "service"
+        return "" if beat.zone == settings.zone else "zone"
+
+    async def succeeds(self, beat: model.Heartbeat, rivals: set[str]) -> bool:
+        """Asks the target which one it is, as a heartbeat names another one.
+
+        Returns:
+          Whether the heartbeat may be that of a new target: the target's own
+          answer does not name one that was known before.
+        """
+        now_ms = self.now_ms()
+        if now_ms - self.identified_ms < IDENTIFY_INTERVAL_MS:
+            return True
+        self.identified_ms = now_ms
+        found = await self.executor.identify_target()
+        self.log.write(
+            "target_identified",
+            claimed=beat.target,
+            known=",".join(sorted(rivals)),
+            found=found,
+        )
+        if found == beat.target:
+            self.executor.on_target_replaced(beat)
+        return found not in rivals
+
     def has_grants(self) -> bool:
         """Whether a reply now would change the target's grants.
 
--- a/src/auburnrock/shells/mesh/wire_protocol.py
+++ b/src/auburnrock/shells/mesh/wire_protocol.py
@@ -78,6 +78,10 @@
     def decode_notice(self, answer: http_client.Response) -> model.TargetNotice:
         """Decodes what a target says of itself in a response."""
 
+    @abc.abstractmethod
+    def target_of(self, answer: http_client.Response) -> str:
+        """Returns the id of the target that gave a response, or ""."""
+
     @abc.abstractmethod
     def forwarded_headers(
         self, headers: http_client.Headers
--- a/src/auburnrock_standins/mesh_target.py
+++ b/src/auburnrock_standins/mesh_target.py
@@ -12,6 +12,9 @@
 import aiohttp
 import msgspec
 
+HEALTH_PATH = "/health"
+"""Path at which a target names itself."""
+
 
 class Hold(msgspec.Struct):
     """A range of keys that the target holds.
@@ -114,6 +117,7 @@
         self.sequence = 0
         self.acknowledged = 0
         self.state = "ready"
+        self.zone = "piran"
         self.executed_requests: list[ExecutedRequest] = []
         self.holds: dict[int, Hold] = {}
         self.freed: list[list] = []
@@ -162,7 +166,7 @@
             "info": {
                 "service": self.service,
                 "version": "v1",
-                "zone": "piran",
+                "zone": self.zone,
                 "slots": self.slots,
             },
             "status": {
@@ -283,6 +287,12 @@
         body = await reader.readexactly(size)
         attempt = headers.get("auburnrock-attempt-id", "")
         key = int(headers.get("auburnrock-shard-key", -1))
+        if head[0].split()[1] == HEALTH_PATH:
+            writer.write(
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                f"Auburnrock-Instance-Id: {self.name}\r\n\r\n".encode()
+            )
+            return True
         addressed_target = headers.get("auburnrock-target-instance")
         if addressed_target not in (None, self.name) or (
             self.keyed and key >= 0 and not self.holds_key(key)
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -70,8 +70,17 @@
         }
     ],
     "clusters": [
-        {"name": "portal", "max_connections": 120, "sharded": True},
-        {"name": "booker", "max_connections": 120},
+        {
+            "name": "portal",
+            "max_connections": 120,
+            "sharded": True,
+            "health_path": "/health",
+        },
+        {
+            "name": "booker",
+            "max_connections": 120,
+            "health_path": "/health",
+        },
     ],
 }
 
@@ -181,7 +190,7 @@
         self, kind: type[mesh_target.MeshTarget]
     ) -> mesh_target.MeshTarget:
         """Returns a target of this host that is not started yet."""
-        return kind(
+        made = kind(
             f"t-{self.ip}-{self.starts}",
             self.service,
             self.addresses["target"],
@@ -189,6 +198,8 @@
             self.service == "portal",
             HEARTBEAT_S,
         )
+        made.zone = self.zone
+        return made
 
 
 class Fleet:
--- a/tests/cover/test_auburnctl_config_check.py
+++ b/tests/cover/test_auburnctl_config_check.py
@@ -330,11 +330,11 @@
 async def test_fields_of_other_programs_are_no_mistake(checker):
     content, routes = configuration()
     for cluster in content["clusters"]:
-        cluster |= {"health_path": "/health", "tls": False}
+        cluster |= {"protocol": "h1", "tls": False}
     routes[0]["action"]["comment"] = "x"
     result = await checker.result(content, code=DONE)
     texts = [each["text"] for each in result["findings"]]
-    assert "nodes do not use: comment, health_path, tls" in texts
+    assert "nodes do not use: comment, protocol, tls" in texts
 
 
 async def test_a_configuration_without_routes(checker):
--- a/tests/cover/test_mesh_holder.py
+++ b/tests/cover/test_mesh_holder.py
@@ -1,5 +1,7 @@
 """Grants of a target, and the faults by which a key would have two owners."""
 
+import pytest
+
 from auburnrock.engine.mesh import key_table as table_module
 from auburnrock.engine.mesh import model
 from auburnrock.engine.mesh import target_grants as grants_module
@@ -126,9 +128,11 @@
     stripe = table.owned_by(mesh.incarnation("a"))[0]
     grants.begin_release({stripe: mesh.incarnation("b")})
     assert grants.released(100.0) == {}
+    granted(grants, 150.0, 2)
+    assert grants.released(150.0) == {}
     first, last = table.span(stripe)
     freed = [model.FreedRange(first, last, "feed")]
-    granted(grants, 200.0, 2, freed=freed)
+    granted(grants, 200.0, 3, freed=freed)
     assert grants.released(200.0) == {stripe: (mesh.incarnation("b"), "feed")}
 
 
@@ -171,8 +175,9 @@
     """Releases a stripe, frees it at the target, and returns the moves."""
     granted(grants, 0.0)
     grants.begin_release({stripe: mesh.incarnation("b")})
+    granted(grants, 50.0, 2)
     first, last = grants.table.span(stripe)
-    granted(grants, 100.0, 2, freed=[model.FreedRange(first, last, "feed")])
+    granted(grants, 100.0, 3, freed=[model.FreedRange(first, last, "feed")])
     return grants.released(100.0)
 
 
@@ -185,7 +190,7 @@
     stripe = table.owned_by(mesh.incarnation("a"))[0]
     grants.begin_change(released_and_freed(grants, stripe))
     grants.begin_release({})
-    reply = granted(grants, 200.0, 3)
+    reply = granted(grants, 200.0, 4)
     assert stripe not in stripes_in(table, reply.granted_ranges)
     assert stripe in grants.released(200.0)
 
@@ -197,7 +202,7 @@
     grants.begin_change(released_and_freed(grants, stripe))
     grants.begin_release({})
     grants.change_failed()
-    reply = granted(grants, 200.0, 3)
+    reply = granted(grants, 200.0, 4)
     assert stripe in stripes_in(table, reply.granted_ranges)
 
 
@@ -209,7 +214,7 @@
     grants.change_unanswered()
     grants.change_not_sent()
     grants.begin_release({})
-    reply = granted(grants, 200.0, 3)
+    reply = granted(grants, 200.0, 4)
     assert stripe not in stripes_in(table, reply.granted_ranges)
 
 
@@ -259,8 +264,10 @@
     table = mesh.table("a", "b")
     grants = grants_of("a", table)
     granted(grants, 0.0)
-    grants.on_heartbeat(10.0, mesh.heartbeat("a", 1, started_ms=2))
-    reply = grants.reply(10.0, 10.0, LEASE_ENDS_MS)
+    assert not grants.on_heartbeat(10.0, mesh.heartbeat("a", 1, started_ms=2))
+    later_ms = 10.0 + 1.25 * grants_module.HEARTBEAT_MS
+    assert grants.on_heartbeat(later_ms, mesh.heartbeat("a", 2, started_ms=2))
+    reply = grants.reply(later_ms, later_ms, LEASE_ENDS_MS)
     assert reply.granted_ranges == []
 
 
@@ -324,3 +331,61 @@
     ]
     grants.grants_reported_only = False
     assert grants.has_grant_changes()
+
+
+def test_one_heartbeat_of_another_start_ends_no_hold():
+    """One foreign heartbeat moved keys that the target held for 2 s more."""
+    table = mesh.table("a", "b")
+    grants = grants_of("a", table)
+    granted(grants, 0.0)
+    assert not grants.on_heartbeat(10.0, mesh.heartbeat("a", 9, started_ms=2))
+    assert grants.on_heartbeat(20.0, mesh.heartbeat("a", 2))
+    assert grants.former_incarnation_stripes() == []
+
+
+def test_a_likely_end_keeps_the_keys_until_their_grants_have_run_out():
+    table = mesh.table("a", "b")
+    grants = grants_of("a", table)
+    granted(grants, 0.0)
+    for sequence, now_ms in ((1, 1_000.0), (2, 2_000.0)):
+        grants.on_heartbeat(now_ms, mesh.heartbeat("a", sequence, started_ms=2))
+    assert grants.incarnation == mesh.incarnation("a", 2)
+    granted_until_ms = mesh.HOLD_MS * grants_module.CLOCK_DRIFT_FACTOR
+    assert grants.former_until_ms >= granted_until_ms
+
+
+@pytest.mark.parametrize("step", [1, 2, 100, 2**52])
+def test_a_target_is_heard_after_a_foreign_sequence_number(step):
+    """A number that no target reaches made all its heartbeats late ones."""
+    grants = grants_of("a", mesh.table("a", "b"))
+    granted(grants, 0.0, 7)
+    grants.on_heartbeat(10.0, mesh.heartbeat("a", 7 + step))
+    for sequence in range(8, 200):
+        now_ms = 100.0 * sequence
+        assert grants.on_heartbeat(now_ms, mesh.heartbeat("a", sequence))
+
+
+def test_a_claim_ends_with_a_heartbeat_of_the_known_start():
+    grants = grants_of("a", mesh.table("a", "b"))
+    granted(grants, 0.0)
+    for number in range(2, 12):
+        now_ms = 1_000.0 * number
+        assert not grants.on_heartbeat(
+            now_ms - 500.0, mesh.heartbeat("a", number, started_ms=2)
+        )
+        assert grants.on_heartbeat(now_ms, mesh.heartbeat("a", number))
+
+
+def test_a_target_frees_no_key_before_a_reply_has_left_it_out():
+    """Another writer's heartbeat freed keys that the target went on to hold."""
+    table = mesh.table("a", "b")
+    grants = grants_of("a", table)
+    granted(grants, 0.0)
+    stripe = table.owned_by(mesh.incarnation("a"))[0]
+    grants.begin_release({stripe: mesh.incarnation("b")})
+    everything = [model.FreedRange(0, model.KEYS - 1, "feed")]
+    grants.on_heartbeat(100.0, mesh.heartbeat("a", 2, freed=everything))
+    assert grants.released(100.0) == {}
+    granted(grants, 200.0, 3)
+    grants.on_heartbeat(300.0, mesh.heartbeat("a", 4, freed=everything))
+    assert grants.released(300.0) == {stripe: (mesh.incarnation("b"), "feed")}
