Deal no first table at once in a later era of the store

Cause: a process of the first start that first reads the store after a restore knows of none, and wrote the first table at once, beside keys that were held by the lost one.

Why it works: the store's era tells of the restore. The test can't pass before, as the rule had no such argument.

--- a/src/auburnrock/engine/mesh/store_restore.py
+++ b/src/auburnrock/engine/mesh/store_restore.py
@@ -223,15 +223,19 @@
     )
 
 
-def is_bootstrap(is_configured: bool, era_ms: float) -> bool:
+def is_bootstrap(is_configured: bool, era_ms: float, era: int) -> bool:
     """Whether no target can hold keys of a table that the store lost.
 
+    A process may have started before a restore and first read the store after
+    it, so it knows of none.
+
     Args:
       is_configured: whether the settings state that the system starts for the
         first time.
       era_ms: when the node learned of a restore; negative if it has not.
+      era: the store's era.
     """
-    return is_configured and era_ms < 0.0
+    return is_configured and era_ms < 0.0 and era == 0
 
 
 def may_rewrite_initial_table(
--- a/src/auburnrock/shells/mesh/key_migration.py
+++ b/src/auburnrock/shells/mesh/key_migration.py
@@ -377,7 +377,9 @@
         ):
             return
         is_first_start = store_restore.is_bootstrap(
-            self.settings.is_bootstrap, self.context.store_restored_ms
+            self.settings.is_bootstrap,
+            self.context.store_restored_ms,
+            self.store.era,
         )
         if not is_first_start and not store_restore.may_rewrite_initial_table(
             now_ms,
--- a/src/auburnrock/shells/mesh/ownership.py
+++ b/src/auburnrock/shells/mesh/ownership.py
@@ -199,6 +199,7 @@
                     store_restore.is_bootstrap(
                         self.settings.is_bootstrap,
                         self.context.store_restored_ms,
+                        self.store.era,
                     ),
                     self.witness.has_read_records and revision > read_at,
                 )
--- a/tests/cover/test_mesh_restoring.py
+++ b/tests/cover/test_mesh_restoring.py
@@ -1,5 +1,7 @@
 """Rules for a restored store, each from a schedule found by a seeded search."""
 
+import math
+
 from auburnrock.engine.mesh import coordination_store
 from auburnrock.engine.mesh import key_table as table_module
 from auburnrock.engine.mesh import lease as lease_module
@@ -189,3 +191,13 @@
     )
     assert granted_only(unsettled=True, is_since_start=True)
     assert not granted_only(unsettled=True, before=False)
+
+
+def test_a_first_start_that_reads_the_store_after_a_restore_is_none():
+    """A process that had started before a restore and first read the store
+    after it gave keys away that others held by the lost table.
+    """
+    assert store_restore.is_bootstrap(True, -math.inf, 0)
+    assert not store_restore.is_bootstrap(True, -math.inf, 1)
+    assert not store_restore.is_bootstrap(True, 5.0, 0)
+    assert not store_restore.is_bootstrap(False, -math.inf, 0)
