Play lost machines and foreign heartbeats in the soak

`./task soak FIRST LAST machines`: up to four of five machines lose power, at once or one after the other, for 0.8 s to good, and another writer sends heartbeats.

--- a/tests/common/mesh_soak.py
+++ b/tests/common/mesh_soak.py
@@ -97,6 +97,8 @@
       restores: whether the store is restored from older copies.
       faulty_targets: whether targets name limits, repeat refusals and crash.
       hard_load: whether targets start cold and zones are evacuated.
+      lost_machines: whether machines lose power, and another writer sends
+        heartbeats.
       evacuated_s: times at which the store acknowledged the present
         evacuations, by zone; infinite after a reported violation.
       store_disrupted_s: when the latest disruption of the whole store ended.
@@ -114,6 +116,7 @@
         restores: bool = False,
         faulty_targets: bool = False,
         hard_load: bool = False,
+        lost_machines: bool = False,
     ):
         self.seed = seed
         self.deployment = deployment
@@ -121,6 +124,7 @@
         self.restores = restores
         self.faulty_targets = faulty_targets
         self.hard_load = hard_load
+        self.lost_machines = lost_machines
         self.evacuated_s: dict[str, float] = {}
         self.store_disrupted_s = 0.0
         self.rng = random.Random(seed)
@@ -209,7 +213,11 @@
         """Injects all faults of the schedule."""
         async with asyncio.TaskGroup() as faults:
             for fault in mesh_soak_faults.schedule(
-                self.seed, self.restores, self.faulty_targets, self.hard_load
+                self.seed,
+                self.restores,
+                self.faulty_targets,
+                self.hard_load,
+                self.lost_machines,
             ):
                 faults.create_task(self.inject_fault(fault))
 
@@ -259,7 +267,7 @@
         elif fault.kind == "crash_target":
             await host.target.crash()
             await asyncio.sleep(fault.for_s)
-            if not host.target.server.is_serving():
+            if not (host.target.server.is_serving() or host.is_lost):
                 await host.start_target()
         elif fault.kind == "lose_answers":
             host.target.behaviour.lose += 3
@@ -277,7 +285,7 @@
             behaviour.crash_path = "/check/"
             await asyncio.sleep(fault.for_s)
             behaviour.crash_path = ""
-            if not host.target.server.is_serving():
+            if not (host.target.server.is_serving() or host.is_lost):
                 await host.start_target()
         elif fault.kind == mesh_soak_faults.STORE_RESTORED:
             for each in self.hosts if fault.kills_all_nodes else ():
@@ -286,6 +294,10 @@
         elif fault.kind == "configure":
             self.version += 1
             self.configure()
+        elif fault.kind == mesh_soak_faults.POWER_OFF:
+            await self.lose_machine(host, fault.for_s)
+        elif fault.kind == mesh_soak_faults.FOREIGN_HEARTBEAT:
+            await host.put_foreign_heartbeat(int(fault.at_s * 1_000))
         elif fault.kind == mesh_soak_faults.EVACUATE:
             await self.evacuate(host, fault.for_s)
         if fault.kind in mesh_soak_faults.STORE_DISRUPTIONS:
@@ -315,6 +327,20 @@
             host.target.cold_until_s = now_s + cold_s
         self.store.apply([], [key])
 
+    async def lose_machine(
+        self, host: mesh_soak_faults.Host, for_s: float
+    ) -> None:
+        """Ends a node and its target at once, and for good if so requested."""
+        host.is_lost = True
+        self.kill(host)
+        await host.target.crash()
+        if math.isinf(for_s):
+            return
+        await asyncio.sleep(for_s)
+        host.is_lost = False
+        await host.start_node()
+        await host.start_target()
+
     def kill(self, host: mesh_soak_faults.Host) -> None:
         """Kills the node of a host."""
         host.ends_expected.add(host.process.popen.pid)
@@ -326,14 +352,15 @@
         """Restarts a node whenever it has ended, as the platform does."""
         while True:
             process = host.process.popen
-            if process.poll() is not None:
+            if process.poll() is not None and not host.is_lost:
                 if process.pid not in host.ends_expected:
                     self.fail(
                         f"{host.ip} ended by itself, status"
                         f" {process.returncode}"
                     )
                 await asyncio.sleep(RESTART_S)
-                await host.start_node()
+                if host.process.popen is process and not host.is_lost:
+                    await host.start_node()
             await asyncio.sleep(0.05)
 
     # Callers ----------------------------------------------------------------
@@ -507,7 +534,11 @@
 
     async def wait_until_served(self, when: str) -> None:
         """Waits until every node serves all parts of the keys, or fails."""
-        waits = [self.wait_until_host_serves(host) for host in self.hosts]
+        waits = [
+            self.wait_until_host_serves(host)
+            for host in self.hosts
+            if not host.is_lost
+        ]
         try:
             async with asyncio.timeout(RECOVER_S):
                 await asyncio.gather(*waits)
@@ -548,6 +579,7 @@
     restores: bool = False,
     faulty_targets: bool = False,
     hard_load: bool = False,
+    lost_machines: bool = False,
 ) -> list[str]:
     """Runs one seed; returns the violated guarantees."""
     with processes.Deployment(folder) as deployment:
@@ -558,6 +590,7 @@
             restores=restores,
             faulty_targets=faulty_targets,
             hard_load=hard_load,
+            lost_machines=lost_machines,
             **options,
         )
         return await soak.run()
@@ -586,5 +619,6 @@
             restores="restores" in sys.argv[3:],
             faulty_targets="targets" in sys.argv[3:],
             hard_load="load" in sys.argv[3:],
+            lost_machines="machines" in sys.argv[3:],
         )
     )
--- a/tests/common/mesh_soak_faults.py
+++ b/tests/common/mesh_soak_faults.py
@@ -3,11 +3,13 @@
 import abc
 import asyncio
 import collections
+import contextlib
 import json
 import os
 import random
 import time
 
+import aiohttp
 import msgspec
 
 from auburnrock_standins import forwarder
@@ -71,6 +73,18 @@
 callers exceed it by far: without the limit, a cold target of the service
 `booker` received 17 requests within 0.1 s."""
 
+POWER_OFF = "power_off"
+FOREIGN_HEARTBEAT = "foreign_heartbeat"
+"""Kinds of faults, in addition to KINDS, of schedules with lost machines only:
+nodes and targets end together; another writer reports a target."""
+
+LOST_MACHINES_MAX = 4
+LOST_FOR_S = (0.8, 3.0, 8.0, float("inf"))
+"""Durations in seconds for which lost machines are away."""
+
+LOST_IN_TURN_S = 1.2
+"""Time in seconds between the losses of machines, if not at once."""
+
 STORE_RESTORED = "store_restored"
 """Kind of fault, in addition to KINDS, of schedules with restores only."""
 
@@ -113,6 +127,7 @@
     restores: bool = False,
     faulty_targets: bool = False,
     hard_load: bool = False,
+    lost_machines: bool = False,
 ) -> list[Fault]:
     """Returns the faults of a seed, in the order of their times.
 
@@ -121,6 +136,8 @@
       restores: whether the store is also restored, once or twice.
       faulty_targets: whether targets also have faults of TARGET_KINDS.
       hard_load: whether zones are also evacuated and more targets restarted.
+      lost_machines: whether machines are also lost, some for good, and another
+        writer sends heartbeats.
     """
     rng = random.Random(seed)
     faults = []
@@ -174,9 +191,35 @@
         restarted = rng.randrange(len(SERVICES))
         at_s = rng.uniform(0.0, FAULTS_S)
         faults.append(Fault(at_s, "crash_target", restarted, 0.8))
+    if lost_machines:
+        faults += _losses(rng)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _losses(rng: random.Random) -> list[Fault]:
+    """Returns losses of machines, all but one at most, and odd heartbeats."""
+    hosts = list(range(len(SERVICES)))
+    # One target that may hold keys remains.
+    hosts.remove(rng.randrange(SERVICES.count("portal")))
+    lost = rng.sample(hosts, rng.randint(1, LOST_MACHINES_MAX))
+    at_s = rng.uniform(0.0, FAULTS_S / 2)
+    step_s = rng.choice((0.0, LOST_IN_TURN_S))
+    faults = [
+        Fault(at_s + place * step_s, POWER_OFF, host, rng.choice(LOST_FOR_S))
+        for place, host in enumerate(lost)
+    ]
+    faults += [
+        Fault(
+            rng.uniform(0.0, FAULTS_S),
+            FOREIGN_HEARTBEAT,
+            rng.randrange(len(SERVICES)),
+            0.0,
+        )
+        for _ in range(3)
+    ]
+    return faults
+
+
 class Target(mesh_target.MeshTarget):
     """A target that calls the oracle whenever its holds change."""
 
@@ -270,6 +313,7 @@
       disturbances: how often a process was killed or frozen.
       disturbed_s: when a process was last killed or resumed; infinite while
         one is frozen.
+      is_lost: whether the machine has no power.
       received_s: times of the requests that the present target has received,
         back to one second before the latest.
     """
@@ -292,9 +336,49 @@
         self.latest_served_version = 0
         self.ends_expected: set[int] = set()
         self.disturbances = 0
+        self.is_lost = False
         self.disturbed_s = 0.0
         self.received_s: collections.deque[float] = collections.deque()
 
+    async def put_foreign_heartbeat(self, number: int) -> None:
+        """Sends a heartbeat of another writer to the node."""
+        odd = {
+            "born": self.target.started_ms + 1,
+            "service": "not-a-service",
+            "zone": "elsewhere",
+            "address": "127.0.0.1:9",
+        }
+        name, value = list(odd.items())[number % len(odd)]
+        message = {
+            "address": self.addresses["target"],
+            "born": self.target.started_ms + 1,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": 18,
+            },
+            "status": {
+                "state": "draining",
+                "seq_num": 1,
+                "cold_remaining": "0ms",
+            },
+        }
+        place = message if name in message else message["info"]
+        place[name] = value
+        url = f"http://{self.addresses['control']}/auburnrock/instances/other"
+        # The node may have ended.
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with (
+                aiohttp.ClientSession() as session,
+                session.put(
+                    url,
+                    data=msgspec.msgpack.encode(message),
+                    timeout=aiohttp.ClientTimeout(total=1.0),
+                ) as response,
+            ):
+                await response.read()
+
     def settings_text(self) -> str:
         """Returns the settings file as the platform writes it."""
         return settings_text(self.ip, self.service, self.addresses)
--- a/tests/cover/test_mesh_soak.py
+++ b/tests/cover/test_mesh_soak.py
@@ -28,6 +28,14 @@
     assert await mesh_soak.run(seed, tmp_path, faulty_targets=True) == []
 
 
+async def test_nodes_keep_their_promises_when_machines_are_lost(tmp_path):
+    """Guards against keys that nobody serves and keys that two targets hold.
+
+    Seed 9 loses four of five machines, three of them for good.
+    """
+    assert await mesh_soak.run(9, tmp_path, lost_machines=True) == []
+
+
 async def test_nodes_keep_their_promises_under_hard_load(tmp_path):
     """Guards against requests to targets in evacuated zones, and more requests
     than a cold target tolerates.
