Refuse what cannot be answered before a stopping node ends

Cause: the queues knew the caller's deadline only, not the end of the process that has to pass the answer on. Evidence: `stopped busy=N`, and no line of these attempts at any target. Ruled out: the readiness check, deadlines and time-outs (8 s), the targets.

Why it works: from the SIGTERM on, each queue of the node, and each queue of a neighbour for that node's requests (pings say `stops_in_ms`), refuses a request whose expected end lies after the process's, at once. 503 is given only where no target has begun; what is at work is awaited to the end, and its caller then gets 502 or 504 in place of a closed connection.

Stubs of the executor in two test files take its new argument.

--- a/src/auburnrock/engine/mesh/admission_queue.py
+++ b/src/auburnrock/engine/mesh/admission_queue.py
@@ -16,6 +16,7 @@
 """
 
 import heapq
+import math
 
 import msgspec
 
@@ -86,6 +87,19 @@
 in which one slot becomes free."""
 
 
+class AnswerBound:
+    """Time by which a process needs the answers to its requests.
+
+    Attributes:
+      until_ms: that time, in milliseconds; infinite unless the process stops.
+    """
+
+    __slots__ = ("until_ms",)
+
+    def __init__(self):
+        self.until_ms = math.inf
+
+
 class QueuedRequest(msgspec.Struct, eq=False):
     """A request in the admission queue of its target.
 
@@ -104,6 +118,7 @@
         negative for no limit.
       is_download: whether the response is long, and counts against the share
         of the link.
+      bounds: bounds of the processes through which the answer passes.
     """
 
     number: int
@@ -117,6 +132,11 @@
     started_ms: float = 0.0
     max_queue_wait_ms: float = -1.0
     is_download: bool = False
+    bounds: tuple[AnswerBound, ...] = ()
+
+    def answer_by_ms(self) -> float:
+        """Returns the time by which a process on the way stops."""
+        return min((bound.until_ms for bound in self.bounds), default=math.inf)
 
     def rank(self) -> rank_reservation.Rank:
         """Returns the urgency of the request's kind."""
@@ -256,7 +276,8 @@
             return self._reject(request, wait_ms)
         slowness = self.slowness(now_ms)
         work_ms = request.expected_ms * slowness
-        if now_ms + wait_ms + work_ms > request.deadline_at_ms:
+        end_ms = now_ms + wait_ms + work_ms
+        if end_ms > min(request.deadline_at_ms, request.answer_by_ms()):
             return self._reject(request, wait_ms)
         total_ms = wait_ms + QUEUEING_WORK_FACTOR * work_ms
         if now_ms + total_ms > request.objective_at_ms:
@@ -414,7 +435,10 @@
             if request is None:
                 break
             min_work_ms = 0.5 * request.expected_ms
-            if now_ms + min_work_ms > request.deadline_at_ms:
+            if (
+                now_ms + min_work_ms > request.deadline_at_ms
+                or now_ms + request.expected_ms > request.answer_by_ms()
+            ):
                 decisions.append(
                     self._reject(request, self.expected_wait_ms(now_ms))
                 )
@@ -484,8 +508,9 @@
     def shed_overdue(self, now_ms: float) -> list[Rejected]:
         """Rejects queued requests that can no longer be answered.
 
-        These are requests that can't end before their deadline, and late
-        requests that have waited too long for a free slot.
+        These are requests that can't end before their deadline, late requests
+        that have waited too long for a free slot, and requests whose answer
+        would come after a process on its way has stopped.
         """
         rejected = []
         for number, request in list(self.queued.items()):
@@ -493,6 +518,7 @@
             if (
                 now_ms + 0.5 * request.expected_ms > request.deadline_at_ms
                 or now_ms > request.objective_at_ms + max_late_ms
+                or self._outlasts_bounds(now_ms, request)
             ):
                 del self.queued[number]
                 rejected.append(
@@ -500,6 +526,17 @@
                 )
         return rejected
 
+    def _outlasts_bounds(self, now_ms: float, request: QueuedRequest) -> bool:
+        """Whether a queued request is likely to end after its bounds."""
+        answer_by_ms = request.answer_by_ms()
+        if math.isinf(answer_by_ms):
+            return False
+        wait_ms = self.expected_wait_ms(now_ms, request)
+        # The estimate counts the request itself among those before it.
+        work_ms = request.expected_ms * self.slowness(now_ms)
+        wait_ms = max(0.0, wait_ms - work_ms / max(1, self.slots))
+        return now_ms + wait_ms + work_ms > answer_by_ms
+
     def _start(self, now_ms: float, request: QueuedRequest) -> Admitted:
         request.started_ms = now_ms
         self.rate_limit.take(now_ms)
--- a/src/auburnrock/engine/mesh/peer_messages.py
+++ b/src/auburnrock/engine/mesh/peer_messages.py
@@ -73,6 +73,8 @@
         last sent on this connection.
       digest: digest of the sender's directory; 0 if the receiver need not
         compare it.
+      stops_in_ms: time until the sender's process needs the answers to its
+        requests, as it stops; 0 if it does not stop.
     """
 
     metric_kind = "Ping"
@@ -82,6 +84,7 @@
     report: target_selection.LoadReport
     versions: Versions | None
     digest: int = 0
+    stops_in_ms: int = 0
 
 
 class Pong(Message, tag=2):
--- a/src/auburnrock/shells/mesh/dispatcher.py
+++ b/src/auburnrock/shells/mesh/dispatcher.py
@@ -155,7 +155,9 @@
       groups: targets by service.
       retry_budgets: retry budgets by service.
       evacuations: zones whose targets must receive no requests.
-      ends_ms: when this process stops, once it is stopping.
+      ends_ms: when this process stops, once it refuses what may outlast it.
+      stops_ms: when this process stops, from the beginning of its stop.
+      sends: time-outs of the sends that have no outcome, by number.
       in_flight: requests that were sent to a node and have no outcome, with
         the target, by number.
       send: sends a request to one target, and perhaps to a second one while
@@ -193,6 +195,8 @@
         self.usual_waits_ms: dict[str, float] = {}
         self.started_ms = now_ms()
         self.ends_ms = math.inf
+        self.stops_ms = math.inf
+        self.sends: dict[int, asyncio.Timeout] = {}
         self.numbers = 0
         self.in_flight: dict[
             int, tuple[Attempt, target_selection.Candidate]
@@ -348,6 +352,8 @@
                 return self._final_outcome(
                     attempt, errors.ErrorKind.DEADLINE_EXCEEDED
                 )
+            if self.stops_ms - now_ms < ATTEMPT_TIME_MIN_MS:
+                return self._final_outcome(attempt, errors.ErrorKind.DRAINING)
             refused_ms = self.suspects.refused_for_ms(
                 now_ms, attempt.fingerprint
             )
@@ -499,7 +505,8 @@
         try:
             async with asyncio.timeout(
                 (attempt.outcome_until_ms - now_ms) / 1_000
-            ):
+            ) as timeout:
+                self.sends[run.number] = timeout
                 outcome = await self.execute(candidate.name, run)
         except TimeoutError:
             outcome = peer_messages.Lost(
@@ -509,6 +516,7 @@
             )
         finally:
             del self.in_flight[run.number]
+            self.sends.pop(run.number, None)
             attempt.open_sends -= 1
             candidate.on_request_ended(
                 _is_failure(outcome) or attempt.overtaken == candidate.name
@@ -524,6 +532,11 @@
             attempt.count_reached(candidate.name)
         return outcome
 
+    def end_sends(self) -> None:
+        """Ends all sends, as this process ends: their outcome is unknown."""
+        for timeout in list(self.sends.values()):
+            timeout.reschedule(asyncio.get_running_loop().time())
+
     def should_fail_over(self, run: peer_messages.RunRequest) -> bool:
         """Whether a request at a silent node is sent to another target now.
 
--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -113,7 +113,8 @@
       former_drain: incarnation of the target whose heartbeats told the former
         process of this node that it drains; None without one.
       evacuations: zones whose targets must receive no requests.
-      closing: whether this process ends once the running requests have ended.
+      closing: whether new requests are refused, as this process stops.
+      bound: when this process stops.
       resumed: incarnation of the target that the former process of this node
         knew, until the first heartbeat is received here; None after.
       drain_cause: what began the drain.
@@ -159,6 +160,7 @@
         self.keyed = False
         self.evacuations = evacuation.Evacuations()
         self.closing = False
+        self.bound = admission_queue.AnswerBound()
         self.resumed: model.Incarnation | None = None
         self.leaving: model.Incarnation | None = None
         self.farewells = farewells_module.Farewells()
@@ -434,6 +436,10 @@
         self.refuse_queued()
         self.on_grants_end()
 
+    def on_bound_changed(self) -> None:
+        """Refuses the queued requests whose answer would come too late."""
+        self.dispatch_decisions(self.queue.shed_overdue(self.now_ms()))
+
     def refuse_queued(self) -> None:
         """Refuses all queued requests, as there is no target to use."""
         for number in list(self.queue.queued):
@@ -465,6 +471,7 @@
         self,
         run: peer_messages.RunRequest,
         on_sent: Callable[[], None] = lambda: None,
+        sender_bound: admission_queue.AnswerBound | None = None,
     ) -> peer_messages.RunOutcome:
         """Runs a request at the target, or refuses it.
 
@@ -475,6 +482,8 @@
         Args:
           run: the request.
           on_sent: called before the request is sent to the target.
+          sender_bound: when the process that sent the request stops; None for
+            this process.
         """
         received_ms = self.now_ms()
         refusal = self._admission_refusal(run)
@@ -497,6 +506,7 @@
             run.objective_ms,
             max_queue_wait_ms=run.max_queue_wait_ms,
             is_download=run.is_download,
+            bounds=(self.bound, sender_bound or self.bound),
         )
         decision = self.queue.offer(received_ms, ticket)
         if isinstance(decision, admission_queue.Queued):
@@ -556,7 +566,7 @@
                     running=len(self.queue.running),
                     waiting=len(self.queue.queued),
                 )
-            refusal = self._admission_refusal(run)
+            refusal = self._target_refusal(run)
             if refusal is not None:
                 end = "barred"
                 return refusal
@@ -791,10 +801,16 @@
     def _admission_refusal(
         self, run: peer_messages.RunRequest
     ) -> peer_messages.Refused | None:
-        """Returns a refusal if the target must not receive this request now."""
-        now_ms = self.now_ms()
+        """Returns a refusal if a new request must not be queued now."""
         if self.closing:
             return self._refused(run, errors.ErrorKind.DRAINING, 300.0)
+        return self._target_refusal(run)
+
+    def _target_refusal(
+        self, run: peer_messages.RunRequest
+    ) -> peer_messages.Refused | None:
+        """Returns a refusal if the target must not receive this request now."""
+        now_ms = self.now_ms()
         if self.target is None:
             return self._refused(run, errors.ErrorKind.NO_TARGET, 200.0)
         if run.service != self.target.service:
--- a/src/auburnrock/shells/mesh/node.py
+++ b/src/auburnrock/shells/mesh/node.py
@@ -87,6 +87,14 @@
 """Time, in seconds, before the end of the grace period at which a process stops
 even if requests are in progress."""
 
+STOP_ANSWER_MARGIN_MS = 150.0
+"""Time, in milliseconds, before the end of the process by which an answer must
+leave its target, so that it reaches the caller."""
+
+STOP_LAST_ANSWERS_MS = 200.0
+"""Longest time, in milliseconds, in which a stopping process answers requests
+whose outcome it can no longer await. It ends within STOP_MARGIN_S."""
+
 LOAD_REPORT_MAX_AGE_MS = 3_000.0
 """Age, in milliseconds, up to which a report of a target's load is used. An
 older one does not show its present load."""
@@ -303,6 +311,7 @@
         self.store_gossip.configuration_version = self.configuration_version
         self.store_gossip.is_bootstrapping = self.is_bootstrapping
         self.peers.execute = self.executor.run
+        self.peers.on_bound_changed = self.executor.on_bound_changed
         self.peers.on_limit = self.on_limit
         self.peers.should_fail_over = self.dispatcher.should_fail_over
         self.peers.versions = self.store_gossip.versions
@@ -822,10 +831,22 @@
         await asyncio.sleep(0)
         self.log.flush()
 
+    async def _wait_for_answers(self) -> None:
+        """Waits until callers have their last answers, for a short time."""
+        until_ms = self.now_ms() + STOP_LAST_ANSWERS_MS
+        while self.callers.unfinished_count() and self.now_ms() < until_ms:
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S / 4)
+
     async def stop(self) -> None:
         """Serves requests until callers use other nodes, then stops."""
         began_ms = self.now_ms()
         limit_ms = self.settings.bounds.grace_ms - STOP_MARGIN_S * 1_000
+        # What waits and cannot be answered in time is refused from here on.
+        self.dispatcher.stops_ms = began_ms + limit_ms
+        answer_by_ms = began_ms + limit_ms - STOP_ANSWER_MARGIN_MS
+        self.executor.bound.until_ms = answer_by_ms
+        self.executor.on_bound_changed()
+        self.peers.begin_stop(answer_by_ms)
         await asyncio.sleep(STOP_SERVING_S)
         # New requests are refused from here on, as the end would interrupt
         # them.
@@ -842,6 +863,9 @@
                 and not self.peers.unfinished_count()
             ):
                 break
+        if self.callers.unfinished_count():
+            self.dispatcher.end_sends()
+            await self._wait_for_answers()
         self.callers.close_idle()
         self.log.write(
             "stopped",
--- a/src/auburnrock/shells/mesh/peer_connections.py
+++ b/src/auburnrock/shells/mesh/peer_connections.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from auburnrock import errors
+from auburnrock.engine.mesh import admission_queue
 from auburnrock.engine.mesh import byte_budget
 from auburnrock.engine.mesh import connection_state
 from auburnrock.engine.mesh import crash_suspects
@@ -134,6 +135,10 @@
       remote_requests: requests of other nodes, by node name, process
         incarnation and number.
       cancelled: requests that were cancelled before they were received.
+      stops_ms: when this process needs all answers, as it stops; infinite
+        before.
+      bounds: when other processes stop, by name and start of the process.
+      on_bound_changed: called when another process begins to stop.
       budget: limit of the bytes that all connections of the process keep.
       sent_bytes: bytes written to other nodes, by kind of message.
       rng: random choice of the neighbour to query.
@@ -207,6 +212,9 @@
             tuple[str, str, int], remote_request.RemoteRequest
         ] = {}
         self.cancelled: set[tuple[str, str, int]] = set()
+        self.stops_ms = math.inf
+        self.bounds: dict[tuple[str, str], admission_queue.AnswerBound] = {}
+        self.on_bound_changed: Callable[[], None] = lambda: None
         self.sent_bytes: dict[str, int] = {}
         self.offsets: dict[tuple[str, str], float] = {}
         self.ticked_ms = 0.0
@@ -219,7 +227,11 @@
         self.swept_ms = now_ms()
         self.assigned_witnesses: set[str] | None = None
         self.execute: Callable[
-            [peer_messages.RunRequest, Callable[[], None]],
+            [
+                peer_messages.RunRequest,
+                Callable[[], None],
+                admission_queue.AnswerBound,
+            ],
             Awaitable[peer_messages.RunOutcome],
         ]
         self.should_fail_over: Callable[[peer_messages.RunRequest], bool]
@@ -301,8 +313,21 @@
             self.load_report(),
             self.versions_for(link.connection),
             self.directory.digest() if is_neighbour else 0,
+            self.stops_in_ms(),
         )
 
+    def stops_in_ms(self) -> int:
+        """Returns the time until this process stops; 0 if it does not."""
+        if math.isinf(self.stops_ms):
+            return 0
+        return max(1, int(self.stops_ms - self.now_ms()))
+
+    def begin_stop(self, stops_ms: float) -> None:
+        """Notifies all nodes by when this process needs their answers."""
+        self.stops_ms = stops_ms
+        for link in self.links.values():
+            link.ping()
+
     def lacks_former_entry(self) -> bool:
         """Whether peers may know an entry of this node's former process."""
         return self.former_entry_is_due()
@@ -331,7 +356,12 @@
         return sum(confirmed) >= lease_module.majority(len(links))
 
     def on_handshake(self, link: peer_link.PeerLink) -> None:
-        """Sends a neighbour the suspected requests that it may have missed."""
+        """Sends a neighbour the suspected requests that it may have missed.
+
+        A process that stops tells so before it sends requests.
+        """
+        if self.stops_in_ms():
+            link.ping()
         if link.member.name in self.neighbours:
             suspicions = self.suspicions()
             if suspicions:
@@ -726,6 +756,10 @@
     ) -> None:
         """Replies to a ping, and compares directory digests."""
         self.update_clock_offset(inbound.origin(), ping.sent_ms)
+        if ping.stops_in_ms:
+            bound = self.bound_of(inbound.origin())
+            bound.until_ms = self.now_ms() + ping.stops_in_ms
+            self.on_bound_changed()
         term = self.on_ping(inbound.name, ping)
         connection.send(
             peer_messages.Pong(
@@ -751,6 +785,13 @@
                 peer_messages.DigestRequest(self.directory.bucket_digests())
             )
 
+    def bound_of(self, origin: tuple[str, str]) -> admission_queue.AnswerBound:
+        """Returns the bound of another process."""
+        bound = self.bounds.get(origin)
+        if bound is None:
+            bound = self.bounds[origin] = admission_queue.AnswerBound()
+        return bound
+
     def on_closed(self, connection: frames.FrameConnection) -> None:
         """Handles the end of an inbound connection."""
         inbound = self.inbound.pop(connection, None)
@@ -914,7 +955,9 @@
     ) -> None:
         """Runs one request, and sends its outcome."""
         try:
-            request.outcome = await self.execute(run, request.mark_sent)
+            request.outcome = await self.execute(
+                run, request.mark_sent, self.bound_of(request_id[:2])
+            )
         except Exception as error:
             self.log.write(
                 "fault", where="execute", attempt=run.attempt, error=repr(error)
--- a/tests/cover/test_mesh_invalid_status.py
+++ b/tests/cover/test_mesh_invalid_status.py
@@ -344,7 +344,7 @@
     asker, other = fleet.hosts[1:3]
     hub = other.node.peers
 
-    async def answer(run, on_sent):
+    async def answer(run, on_sent, sender_bound):
         on_sent()
         return peer_messages.Answered(
             run.number, status, [], body, target_selection.NO_TARGET, 1.0
--- a/tests/cover/test_mesh_requests.py
+++ b/tests/cover/test_mesh_requests.py
@@ -407,7 +407,7 @@
     monkeypatch.setattr(peer_connections, "IDEMPOTENT_ORPHAN_TIMEOUT_S", 0.01)
     ended = []
 
-    async def wait_for_a_slot(run, on_sent):
+    async def wait_for_a_slot(run, on_sent, sender_bound):
         try:
             await asyncio.Event().wait()
         finally:
@@ -594,7 +594,7 @@
     monkeypatch.setattr(peer_connections, "ORPHAN_TIMEOUT_S", 0.02)
     refusal = peer_link.unreachable_refusal(11)
 
-    async def run_for_a_while(run, on_sent):
+    async def run_for_a_while(run, on_sent, sender_bound):
         on_sent()
         await asyncio.sleep(0.1)
         return refusal
@@ -619,7 +619,7 @@
     hub = fleet.hosts[0].node.peers
     ran = []
 
-    async def record_run(run, on_sent):
+    async def record_run(run, on_sent, sender_bound):
         ran.append(run.number)
         return peer_link.unreachable_refusal(run.number)
 
@@ -675,7 +675,7 @@
     monkeypatch.setattr(peer_connections, "RESULT_RETENTION_S", 0.01)
     ran = []
 
-    async def record_run(run, on_sent):
+    async def record_run(run, on_sent, sender_bound):
         on_sent()
         ran.append(run.number)
         return peer_link.unreachable_refusal(run.number)
@@ -745,7 +745,7 @@
     hub = fleet.hosts[0].node.peers
     monkeypatch.setattr(peer_connections, "IDEMPOTENT_ORPHAN_TIMEOUT_S", 0.01)
 
-    async def send_at_last(run, on_sent):
+    async def send_at_last(run, on_sent, sender_bound):
         try:
             await asyncio.Event().wait()
         finally:
@@ -771,7 +771,7 @@
     monkeypatch.setattr(peer_connections, "IDEMPOTENT_ORPHAN_TIMEOUT_S", 0.01)
     outcome = peer_link.unreachable_refusal(16)
 
-    async def run_for_a_while(run, on_sent):
+    async def run_for_a_while(run, on_sent, sender_bound):
         on_sent()
         await asyncio.sleep(0.1)
         return outcome
@@ -798,7 +798,7 @@
     link = hub.links[other.ip]
     outcome = peer_link.unreachable_refusal(19)
 
-    async def run_for_a_while(run, on_sent):
+    async def run_for_a_while(run, on_sent, sender_bound):
         on_sent()
         await asyncio.sleep(0.1)
         return outcome
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -28,6 +28,7 @@
     "tests/cover/test_mesh_restore.py",
     "tests/cover/test_mesh_soak.py",
     "tests/cover/test_mesh_stop.py",
+    "tests/cover/test_mesh_stop_queued.py",
 ]
 """Files whose tests wait for leases and faults, on separate ports."""
 
