Confirm a record only while some node is not heard of

Who seals a record alone has not heard of its node for 3 s.

All nodes are checked four times a second, not at each tick.

--- a/src/auburnrock/shells/mesh/own_record.py
+++ b/src/auburnrock/shells/mesh/own_record.py
@@ -194,8 +194,8 @@
         return not joined or not joined.isdisjoint(self.peers.alive())
 
     async def confirm_if_due(self, now_ms: float) -> None:
-        """Confirms the record every CHECK_INTERVAL_MS."""
-        if now_ms >= self.confirmation.due_ms:
+        """Confirms the record every CHECK_INTERVAL_MS while it has to be."""
+        if self.confirmation.is_due(now_ms):
             await self.confirm_with_store()
 
     async def confirm_with_store(self) -> None:
--- a/src/auburnrock/shells/mesh/takeover.py
+++ b/src/auburnrock/shells/mesh/takeover.py
@@ -29,6 +29,10 @@
 """Delay, in milliseconds for each rank, before a witness starts a takeover, so
 that one witness leads it."""
 
+SILENCE_CHECK_INTERVAL_MS = 250.0
+"""Interval, in milliseconds, between two checks of all nodes for those that are
+lost with their witnesses. It takes time for each node of the fleet."""
+
 QUERY_TIMEOUT_S = 0.4
 """Time-out of a query to a peer in seconds. Peers answer in milliseconds."""
 
@@ -52,6 +56,7 @@
         that it is in the store, by node.
       sealed_alone_ms: when this node last sealed a record without the node's
         witnesses, by node.
+      silence_checked_ms: time of the last check of all nodes for lost ones.
       reassigning: held during a change of a key table, as concurrent ones of
         this process would conflict.
       expiry_checked_ms: time of the last check for records to remove, in
@@ -65,6 +70,7 @@
         self.expiry_checked_ms = self.started_ms
         self.sealed_ms: dict[str, tuple[int, float]] = {}
         self.sealed_alone_ms: dict[str, float] = {}
+        self.silence_checked_ms = self.started_ms
         self.reassigning = asyncio.Lock()
 
     def stop(self) -> None:
@@ -91,6 +97,9 @@
             if self.witness.silent_ms(now_ms, name) < limit_ms:
                 continue
             self._start(name)
+        if now_ms - self.silence_checked_ms < SILENCE_CHECK_INTERVAL_MS:
+            return
+        self.silence_checked_ms = now_ms
         alive = self.peers.alive()
         for name, (member, _) in self.cache.members.items():
             if name in self.sealings or name == self.name:
--- a/tests/common/mesh_ownership_simulation.py
+++ b/tests/common/mesh_ownership_simulation.py
@@ -133,6 +133,7 @@
         # When another node was last heard of, and whether it read the store.
         self.heard: dict[str, tuple[float, bool]] = {}
         self.reads_store = True
+        self.answered_ms = 0.0
         self.unfit_since_ms = math.inf
         self.sealed_alone_ms: dict[str, float] = {}
 
@@ -283,15 +284,16 @@
             return
         node.reads_store = self.reaches_store(name)
         if node.reads_store:
+            node.answered_ms = self.now_ms
             self.use_store(node)
-        elif store_confirmation.is_shared_outage(
-            name, self.records, node.entries(self.now_ms)
-        ):
-            node.confirmation.on_shared_outage(self.now_ms)
+        node.confirmation.on_news_checked(
+            self.now_ms,
+            store_confirmation.hears_all(
+                name, self.records, node.entries(self.now_ms)
+            ),
+        )
         self.gossip(node)
-        for other in node.lease.witnesses_due(
-            self.now_ms, node.confirmation.sent_ms
-        ):
+        for other in node.lease.witnesses_due(self.now_ms, node.answered_ms):
             if self.reaches(name, other):
                 self.at(
                     self.delay_ms(),
@@ -370,7 +372,7 @@
             witnesses = record.witnesses if record is not None else ()
             self.write_record(node.name, self.record_of(node.name, witnesses))
         self.read_store(node)
-        if self.now_ms >= node.confirmation.due_ms:
+        if node.confirmation.is_due(self.now_ms):
             self.confirm(node)
         self.change_witnesses(node)
         self.write_moves(node)
--- a/tests/cover/test_mesh_restore_search.py
+++ b/tests/cover/test_mesh_restore_search.py
@@ -25,14 +25,14 @@
 BROKEN = {
     "eras_are_not_compared": {"seed": 0},
     "changes_go_across_eras": {
-        "seed": 780,
+        "seed": 163,
         "late": mesh_restore_simulation.OFTEN_LATE,
     },
     "tokens_have_no_step": {"seed": 49},
     "settled_tables_have_no_floor": {"seed": 49},
-    "grants_come_before_the_wait": {"seed": 70},
+    "grants_come_before_the_wait": {"seed": 20},
     "lost_deals_are_not_waited_for": {"seed": 66, "loses_deal": True},
-    "witnesses_know_no_era": {"seed": 464},
+    "witnesses_know_no_era": {"seed": 28},
 }
 """Arguments with the first seed that finds a fault, by the disabled rule."""
 
