--- a/tests/common/mesh_restore_broken.py
+++ b/tests/common/mesh_restore_broken.py
@@ -9,6 +9,7 @@
 from auburnrock.engine.mesh import coordination_store
 from auburnrock.engine.mesh import key_table as table_module
 from auburnrock.engine.mesh import lease as lease_module
+from auburnrock.engine.mesh import store_confirmation
 from auburnrock.engine.mesh import store_restore
 from auburnrock.engine.mesh import target_grants as holder_module
 from auburnrock.platform import codec
@@ -102,7 +103,13 @@
 
 
 def witnesses_know_no_era(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Witnesses continue terms of the previous era."""
+    """Witnesses continue terms of the previous era.
+
+    Leases have no other bound, as on nodes that confirm no record.
+    """
+    monkeypatch.setattr(
+        store_confirmation.StoreConfirmation, "ends_ms", lambda self: 1e12
+    )
     monkeypatch.setattr(
         lease_module.Witness, "on_era", lambda self, now_ms, era: None
     )
