Take nothing new from an older heartbeat

A heartbeat that is answered although its number is not above the last one (another writer may have used or skipped numbers) may be a late one. What it reports as held or freed is old, so it is only answered.

A reply that may not wait, as the last grant runs out, waits now while the lease is not live: it would grant nothing.

--- a/src/auburnrock/engine/mesh/target_grants.py
+++ b/src/auburnrock/engine/mesh/target_grants.py
@@ -183,10 +183,14 @@
             if now_ms - self.began_ms >= span_ms:
                 self.on_former_ended()
         self.claims.clear()
+        is_older = heartbeat.sequence <= self.sequence
         is_step = heartbeat.sequence - self.sequence <= 1
         self.skipped_from = NO_SEQUENCE if is_step else self.sequence
         self.sequence = heartbeat.sequence
         self.last_heartbeat_ms = now_ms
+        if is_older:
+            # It may be a late one: it is answered, and says nothing new.
+            return True
         self.draining = self.draining or (
             heartbeat.state is model.TargetState.DRAINING
         )
--- a/src/auburnrock/shells/mesh/target_registration.py
+++ b/src/auburnrock/shells/mesh/target_registration.py
@@ -157,7 +157,8 @@
         if not self.ownership.keyed:
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         # Another writer's heartbeat may have taken the reply to the last one.
-        is_late = self.holder.must_renew(self.now_ms())
+        is_live = self.ownership.grants_until_ms() > self.now_ms()
+        is_late = is_live and self.holder.must_renew(self.now_ms())
         if not (self.has_grants() or self.holder.draining or is_late):
             self.ownership.grants_changed.clear()
             try:
