Report the host's zone in the tests of untrusted clients

The stand-in reported another zone than the settings, so its heartbeats are those of another writer now, and no node served. All tests of the file failed by it.

--- a/tests/common/untrusted_clients.py
+++ b/tests/common/untrusted_clients.py
@@ -135,6 +135,7 @@
             self.addresses["control"],
             False,
         )
+        self.target.zone = settings["self_node"]["zone"]
         await self.target.start()
 
     def sample(self) -> None:
