Renew a target's grants at once where a reply to it was lost

A target held no key for a moment: after a foreign heartbeat under its own id, and after its node's record had been sealed by mistake.

Cause, by their logs: a heartbeat whose reply another one has taken waited 0.6 s for nothing, and the next one as long, as the grants did not change. A reply that was due when the lease became live again was not sent then, since only changes ended the wait. Ruled out: the lease, which was live 0.4 s after the seal with 2.8 s of grants left.

Now a waiting heartbeat is answered as soon as another one comes, and a reply is due when the grants change, run low, or follow a heartbeat whose number was used before.

--- a/src/auburnrock/engine/mesh/target_grants.py
+++ b/src/auburnrock/engine/mesh/target_grants.py
@@ -61,6 +61,8 @@
       sequence: sequence number of the target's latest heartbeat.
       skipped_from: sequence number before the latest one, if numbers between
         them were left out; NO_SEQUENCE if not.
+      latest_is_older: whether the number of the latest heartbeat is not above
+        that of the one before. The reply to that one may be another writer's.
       last_heartbeat_ms: when the latest heartbeat was received.
       draining: whether the target accepts no new work.
       table: latest known key table; None before one is known.
@@ -105,6 +107,7 @@
         "incarnation",
         "last_ended",
         "last_heartbeat_ms",
+        "latest_is_older",
         "member",
         "own_stripes_cache",
         "partly_reported",
@@ -134,6 +137,7 @@
         self.last_ended: model.Incarnation | None = None
         self.sequence = -1
         self.skipped_from = NO_SEQUENCE
+        self.latest_is_older = False
         self.last_heartbeat_ms = now_ms
         self.draining = False
         self.table: table_module.KeyTable | None = None
@@ -187,6 +191,7 @@
         is_step = heartbeat.sequence - self.sequence <= 1
         self.skipped_from = NO_SEQUENCE if is_step else self.sequence
         self.sequence = heartbeat.sequence
+        self.latest_is_older = is_older
         self.last_heartbeat_ms = now_ms
         if is_older:
             # It may be a late one: it is answered, and says nothing new.
--- a/src/auburnrock/shells/mesh/target_registration.py
+++ b/src/auburnrock/shells/mesh/target_registration.py
@@ -156,18 +156,9 @@
             self.acknowledged_leaving = None
         if not self.ownership.keyed:
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
-        # Another writer's heartbeat may have taken the reply to the last one.
-        is_live = self.ownership.grants_until_ms() > self.now_ms()
-        is_late = is_live and self.holder.must_renew(self.now_ms())
-        if not (self.has_grants() or self.holder.draining or is_late):
-            self.ownership.grants_changed.clear()
-            try:
-                async with asyncio.timeout(HEARTBEAT_REPLY_DELAY_S):
-                    while not self.has_grants():
-                        await self.ownership.grants_changed.wait()
-                        self.ownership.grants_changed.clear()
-            except TimeoutError:
-                pass
+        # Replies that wait for an earlier heartbeat are not due any more.
+        self.ownership.grants_changed.set()
+        await self._wait_until_due(beat)
         if self.holder.sequence != beat.sequence:
             return self.protocol.encode_heartbeat_reply(model.HeartbeatReply())
         reply = self.holder.reply(
@@ -208,11 +199,33 @@
             self.executor.on_target_replaced(beat)
         return found not in rivals
 
-    def has_grants(self) -> bool:
-        """Whether a reply now would change the target's grants.
+    async def _wait_until_due(self, beat: model.Heartbeat) -> None:
+        """Waits until the reply is due, or another heartbeat came."""
+        if self.holder.draining:
+            return
+        changed = self.ownership.grants_changed
+        changed.clear()
+        try:
+            async with asyncio.timeout(HEARTBEAT_REPLY_DELAY_S):
+                while not self.is_reply_due():
+                    await changed.wait()
+                    changed.clear()
+                    if self.holder.sequence != beat.sequence:
+                        return
+        except TimeoutError:
+            pass
+
+    def is_reply_due(self) -> bool:
+        """Whether a reply now would change or must renew the target's grants.
 
         After a start the grants change before the lease is live: a reply that
         grants nothing then would delay them by a whole heartbeat.
         """
-        is_live = self.ownership.grants_until_ms() > self.now_ms()
-        return is_live and self.holder.has_grant_changes()
+        now_ms = self.now_ms()
+        if self.ownership.grants_until_ms() <= now_ms:
+            return False
+        return (
+            self.holder.latest_is_older
+            or self.holder.has_grant_changes()
+            or self.holder.must_renew(now_ms)
+        )
