Move the question which target has an address beside the executor

The question is a module of its own now; what the executor does with the answer stays there. No change of behaviour.

--- a/src/auburnrock/shells/mesh/executor.py
+++ b/src/auburnrock/shells/mesh/executor.py
@@ -26,6 +26,7 @@
 from auburnrock.shells.mesh import event_log
 from auburnrock.shells.mesh import http_client
 from auburnrock.shells.mesh import metrics as metrics_module
+from auburnrock.shells.mesh import target_identity
 from auburnrock.shells.mesh import wire_protocol
 
 NON_IDEMPOTENT_IDLE_MAX_MS = 500.0
@@ -58,10 +59,6 @@
 LONG_WAIT_MS = 50.0
 """Waits in the queue longer than this are logged."""
 
-IDENTIFY_TIMEOUT_S = 0.3
-"""Time-out, in seconds, of the question which target has the address. The
-heartbeat that causes it must be acknowledged within a second."""
-
 READY_HEARTBEATS_MIN = {"heartbeat": 2, "farewell": 3}
 """Number of heartbeats that say that the target accepts work, after which a
 drain ends, by the drain's cause. A response says certainly that its target
@@ -382,33 +379,20 @@
         self.on_grants_end()
 
     async def identify_target(self) -> str:
-        """Asks the target's address for the target's id.
-
-        Returns:
-          The id; empty if the answer has none.
-        """
-        if not self.health_path:
-            return ""
-        headers = [(b"host", self.settings.target_address.encode())]
-        data = http_client.encode_request(
-            b"GET", self.health_path.encode(), headers, b""
-        )
+        """Asks the target's address for the target's id; empty if unknown."""
         try:
-            async with asyncio.timeout(IDENTIFY_TIMEOUT_S):
-                connection = await self.client.open()
-                try:
-                    answer = await connection.exchange(data, lambda _: True)
-                finally:
-                    connection.abort()
+            return await target_identity.identify(
+                self.client,
+                self.settings.target_address,
+                self.health_path,
+                self.protocol,
+                self.log,
+            )
         except http_client.ConnectError as error:
             if error.no_listener and self.target is not None:
                 self._record_crash(self.target)
                 self.mark_target_ended("connection_refused")
             return ""
-        except (TimeoutError, http_client.ConnectionBrokenError) as error:
-            self.log.write("target_unidentified", reason=repr(error))
-            return ""
-        return self.protocol.target_of(answer)
 
     def on_target_replaced(self, beat: model.Heartbeat) -> None:
         """Handles that the target's address is that of another target now."""
