--- a/review/fleet3/fleet.py
+++ b/review/fleet3/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import json
+import math
 import os
 import pathlib
 import random
@@ -53,6 +54,18 @@
                         "max_attempts": 2,
                     },
                 },
+                {
+                    "name": "check",
+                    "route_kind": "idempotent",
+                    "target_latency": "400ms",
+                    "priority": 2,
+                    "match": {"path_prefix": "/check/"},
+                    "action": {
+                        "service": "booker",
+                        "timeout": "1000ms",
+                        "max_attempts": 2,
+                    },
+                },
                 {
                     "name": "book",
                     "route_kind": "non_idempotent",
@@ -324,8 +337,18 @@
         key: int | None = None,
         method: str = "GET",
         deadline_ms: int = 1_000,
+        leaves_after_s: float = math.inf,
     ) -> http1.Message | None:
-        """Sends a client's request to a machine."""
+        """Sends a client's request to a machine.
+
+        Args:
+          machine: the machine.
+          path: path of the request.
+          key: key of the request; None for none.
+          method: method of the request.
+          deadline_ms: time for which the client says that it waits.
+          leaves_after_s: time after which the client closes its connection.
+        """
         self.attempts += 1
         attempt = f"a{self.attempts}"
         headers = {
@@ -339,7 +362,7 @@
             f"{machine.ip}:8629",
             f"{method} {path}",
             headers,
-            timeout_s=deadline_ms / 1_000,
+            timeout_s=min(leaves_after_s, deadline_ms / 1_000),
         )
         status = answer.start[1] if answer else "none"
         self.note(f"{attempt} {method} {path} at {machine.ip} -> {status}")
--- a/review/fleet3/upstream.py
+++ b/review/fleet3/upstream.py
@@ -8,6 +8,9 @@
 
 from review.fleet3 import http1
 
+BACK_AFTER_S = 2.0
+"""Time after which an upstream that has crashed is back."""
+
 
 class Hold(msgspec.Struct):
     """A range of keys that the upstream holds.
@@ -36,6 +39,10 @@
       answered_s: when the last heartbeat that was answered with holds was sent.
       runs: attempt, path and time of each request that it began to run.
       work_s: time that a request takes.
+      crash_path: path of a request that crashes the upstream; empty for none.
+      crash_after_s: time from the begin of such a request to the crash.
+      crashes: times of the crashes.
+      writers: open connections.
       on_event: called with a line for the record.
     """
 
@@ -63,12 +70,17 @@
         self.state = "ready"
         self.hears = True
         self.work_s = 0.02
+        self.crash_path = ""
+        self.crash_after_s = 0.0
+        self.crashes: list[float] = []
+        self.writers: set[asyncio.StreamWriter] = set()
         self.holds: list[Hold] = []
         self.freed: list[list] = []
         self.answered_s = 0.0
         self.runs: list[tuple[str, str, float]] = []
         self.server: asyncio.Server | None = None
         self.task: asyncio.Task | None = None
+        self.revival: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Listens, and begins to send heartbeats."""
@@ -81,6 +93,26 @@
         self.task.cancel()
         self.server.close()
 
+    def crash(self) -> None:
+        """Ends at once, and starts again as a new incarnation."""
+        self.crashes.append(time.monotonic())
+        self.on_event(f"{self.name} crashes")
+        self.stop()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.holds = []
+        self.freed = []
+        self.revival = asyncio.create_task(self.revive())
+
+    async def revive(self) -> None:
+        """Starts again after BACK_AFTER_S, under another id."""
+        await asyncio.sleep(BACK_AFTER_S)
+        self.name = f"{self.name.partition('.')[0]}.{len(self.crashes)}"
+        self.born = time.time_ns() // 1_000_000
+        self.sequence = 0
+        await self.start()
+        self.on_event(f"{self.name} starts")
+
     async def send_heartbeats(self) -> None:
         """Sends heartbeats, and at once again while released rows wait."""
         while True:
@@ -168,6 +200,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves the requests of one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 request = await http1.read(reader)
@@ -176,6 +209,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request: http1.Message) -> bytes:
@@ -195,6 +229,11 @@
             )
         self.runs.append((attempt, request.start[1], time.monotonic()))
         self.on_event(f"{self.name} runs {attempt} key {key}")
+        if self.crash_path and request.start[1] == self.crash_path:
+            # It does not notice that the connection was closed meanwhile.
+            await asyncio.sleep(self.crash_after_s)
+            self.crash()
+            raise ConnectionResetError
         await asyncio.sleep(self.work_s)
         shown["Auburnrock-Response-Seal"] = f"{self.name}.{attempt}"
         return http1.encode("HTTP/1.1 200 OK", shown, b"ok")
